--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Every task of the project. `make test` is what CI runs.
 
-MODULES := core io app standin proof
+MODULES := core io platform app standin proof
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 LINT_VERSION := v2.15.0
 LINT := $(CURDIR)/.cache/bin/golangci-lint
@@ -68,7 +68,7 @@
 generate:
 	cd core && protoc -I. --go_out=. --go_opt=paths=source_relative sqcommand/command.proto sqraft/raft.proto
 	cd io && protoc -I. -I../core --go_out=. --go_opt=paths=source_relative \
-		--twirp_out=. --twirp_opt=paths=source_relative sqrpc/rpc.proto
+		--twirp_out=. --twirp_opt=paths=source_relative sqrpc/rpc.proto sqrpc/coordinator.proto
 
 # The whole path on loopback; DEMO=association runs the other example.
 DEMO ?= federation
--- a/app/sqcontrol/calls.go
+++ b/app/sqcontrol/calls.go
@@ -18,7 +18,7 @@
 // then hears "may have run" at once instead of "still running" for ever.
 func (h *holder) closeLostCalls(ctx context.Context, t *tenure) {
 	var running []*sqcommand.CallRecord
-	h.machine.read(func(s *sqstate.State) { running = s.Calls(sqcommand.CallState_CALL_STATE_RUNNING) })
+	h.machine.Read(func(s *sqstate.State) { running = s.Calls(sqcommand.CallState_CALL_STATE_RUNNING) })
 	lost := h.lostCalls(t, running)
 	if len(lost) == 0 {
 		return
@@ -58,7 +58,7 @@
 	}
 	t.lastTrim = now
 	var n int
-	h.machine.read(func(s *sqstate.State) { n = s.CallCount() })
+	h.machine.Read(func(s *sqstate.State) { n = s.CallCount() })
 	if n == 0 {
 		return
 	}
--- a/app/sqcontrol/demand_test.go
+++ b/app/sqcontrol/demand_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiadock/core/sqmember"
+	"sequoiadock/io/sqmachine"
 	"sequoiadock/io/sqrpc"
 )
 
@@ -130,7 +131,7 @@
 
 func TestEntryList(t *testing.T) {
 	te := newTestTenure()
-	h := &holder{machine: newMachine()}
+	h := &holder{machine: sqmachine.New()}
 	watch := func(req *sqrpc.WatchRequest) *sqrpc.WatchResponse {
 		te.entries.Renew(start(), sqmember.ReportConfig{Entry: req.GetEntry(), Address: req.GetAddress(), Leaving: req.GetLeaving()})
 		res := &sqrpc.WatchResponse{}
--- a/app/sqcontrol/explain.go
+++ b/app/sqcontrol/explain.go
@@ -14,7 +14,7 @@
 // Explain implements sqrpc.Control: it answers for orders, from the log.
 func (s *server) Explain(_ context.Context, req *sqrpc.ExplainRequest) (*sqrpc.ExplainResponse, error) {
 	var found *sqcommand.OrderRecord
-	s.machine.read(func(state *sqstate.State) {
+	s.machine.Read(func(state *sqstate.State) {
 		for _, rec := range state.Orders() {
 			if rec.GetOrder().GetId() == req.GetDecision() {
 				found = rec
--- a/app/sqcontrol/holder.go
+++ b/app/sqcontrol/holder.go
@@ -15,6 +15,7 @@
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqguard"
 	"sequoiadock/io/sqlog"
+	"sequoiadock/io/sqmachine"
 	"sequoiadock/io/sqreplica"
 )
 
@@ -23,7 +24,7 @@
 type holder struct {
 	cfg     Config
 	replica *sqreplica.Replica
-	machine *machine
+	machine *sqmachine.Machine
 	log     *sqlog.Log
 	// plain reads lists and reports; orders go through guarded clients only.
 	plain *http.Client
@@ -46,7 +47,7 @@
 	unansweredAt time.Time
 }
 
-func newHolder(cfg Config, r *sqreplica.Replica, m *machine) *holder {
+func newHolder(cfg Config, r *sqreplica.Replica, m *sqmachine.Machine) *holder {
 	h := &holder{
 		cfg:     cfg,
 		replica: r,
@@ -94,7 +95,7 @@
 // because markDrains takes the two the other way round.
 func (h *holder) begin(now, earlier time.Time, term uint64) *tenure {
 	var entries []string
-	h.machine.read(func(s *sqstate.State) { entries = s.Entries() })
+	h.machine.Read(func(s *sqstate.State) { entries = s.Entries() })
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.tenure == nil || h.tenure.term != term {
--- a/app/sqcontrol/look.go
+++ b/app/sqcontrol/look.go
@@ -123,7 +123,7 @@
 // take out of service.
 func (h *holder) markDrains(t *tenure) {
 	want := make(map[string]bool)
-	h.machine.read(func(s *sqstate.State) {
+	h.machine.Read(func(s *sqstate.State) {
 		for _, rec := range s.Orders() {
 			if keepsDrained(rec) {
 				want[rec.GetOrder().GetTarget()] = true
--- a/app/sqcontrol/metrics.go
+++ b/app/sqcontrol/metrics.go
@@ -92,7 +92,7 @@
 
 func (h *holder) countOpenOrders(k sqcommand.OrderKind) float64 {
 	n := 0
-	h.machine.read(func(s *sqstate.State) {
+	h.machine.Read(func(s *sqstate.State) {
 		for _, o := range s.OpenOrders() {
 			if o.GetKind() == k {
 				n++
@@ -105,7 +105,7 @@
 // unreported returns how many frozen windows the platform has not taken, and
 // how long ago the oldest of them ended.
 func (h *holder) unreported(wall time.Time) (n int, age time.Duration) {
-	h.machine.read(func(s *sqstate.State) {
+	h.machine.Read(func(s *sqstate.State) {
 		for _, w := range s.Windows() {
 			if !w.GetReported() {
 				n++
--- a/app/sqcontrol/metrics_test.go
+++ b/app/sqcontrol/metrics_test.go
@@ -4,12 +4,15 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"sequoiadock/core/sqburn"
 	"sequoiadock/core/sqcommand"
 	"sequoiadock/core/sqfleet"
 	"sequoiadock/core/sqmember"
+	"sequoiadock/core/sqstate"
+	"sequoiadock/io/sqmachine"
 )
 
 // start is the time that tests begin at.
@@ -43,15 +46,19 @@
 }
 
 func TestUnreportedWindows(t *testing.T) {
-	h := &holder{machine: newMachine()}
+	h := &holder{machine: sqmachine.New()}
+	apply := func(c *sqcommand.Command) {
+		var res sqcommand.Result
+		assert.NilError(t, proto.Unmarshal(h.machine.Apply(0, sqstate.Encode(c)), &res))
+		assert.Equal(t, res.GetError(), uint32(0))
+	}
 	for n := range uint64(3) {
 		to := start().Add(time.Duration(n+1) * time.Minute).UnixNano()
-		res := h.machine.state.Apply(&sqcommand.Command{Body: &sqcommand.Command_FreezeWindow{FreezeWindow: &sqcommand.FreezeWindow{
+		apply(&sqcommand.Command{Body: &sqcommand.Command_FreezeWindow{FreezeWindow: &sqcommand.FreezeWindow{
 			Window: n + 1, FromUnixNano: to - int64(time.Minute), ToUnixNano: to,
 		}}})
-		assert.Equal(t, res.GetError(), uint32(0))
 	}
-	h.machine.state.Apply(&sqcommand.Command{Body: &sqcommand.Command_MarkReported{MarkReported: &sqcommand.MarkReported{Window: 1}}})
+	apply(&sqcommand.Command{Body: &sqcommand.Command_MarkReported{MarkReported: &sqcommand.MarkReported{Window: 1}}})
 	n, age := h.unreported(start().Add(5 * time.Minute))
 	assert.Equal(t, n, 2)
 	assert.Equal(t, age, 3*time.Minute)
--- a/app/sqcontrol/orders.go
+++ b/app/sqcontrol/orders.go
@@ -66,7 +66,7 @@
 
 func (h *holder) openOrders() []*sqcommand.Order {
 	var open []*sqcommand.Order
-	h.machine.read(func(s *sqstate.State) { open = s.OpenOrders() })
+	h.machine.Read(func(s *sqstate.State) { open = s.OpenOrders() })
 	return open
 }
 
--- a/app/sqcontrol/plan.go
+++ b/app/sqcontrol/plan.go
@@ -84,7 +84,7 @@
 
 func (h *holder) planInput(now time.Time, t *tenure) planInput {
 	in := planInput{now: now, endpoints: h.endpoints(t), open: make(map[string]*sqcommand.Order)}
-	h.machine.read(func(s *sqstate.State) {
+	h.machine.Read(func(s *sqstate.State) {
 		in.cfg = s.Configuration()
 		for _, o := range s.OpenOrders() {
 			in.open[o.GetTarget()] = o
--- a/app/sqcontrol/report.go
+++ b/app/sqcontrol/report.go
@@ -30,7 +30,7 @@
 	case reportBurn:
 		res.Burn = s.holder.burnWindows(now, t)
 	case reportUsage:
-		s.machine.read(func(state *sqstate.State) { res.Usage = state.Windows() })
+		s.machine.Read(func(state *sqstate.State) { res.Usage = state.Windows() })
 	case reportSpending:
 		res.Spending = s.holder.spending(now, t)
 	default:
@@ -58,7 +58,7 @@
 // holder first saw them.
 func (h *holder) spending(now time.Time, t *tenure) []*sqrpc.SpendingLine {
 	var fleet *sqcommand.Fleet
-	h.machine.read(func(s *sqstate.State) { fleet = s.Configuration().GetFleet() })
+	h.machine.Read(func(s *sqstate.State) { fleet = s.Configuration().GetFleet() })
 	type place struct {
 		zone  string
 		cheap bool
--- a/app/sqcontrol/run.go
+++ b/app/sqcontrol/run.go
@@ -12,6 +12,7 @@
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
+	"sequoiadock/io/sqmachine"
 	"sequoiadock/io/sqreplica"
 	"sequoiadock/io/sqrpc"
 )
@@ -24,7 +25,7 @@
 	if cfg.Advertise == "" {
 		cfg.Advertise = cfg.Listen
 	}
-	m := newMachine()
+	m := sqmachine.New()
 	transport := sqreplica.NewPeerTransport(sqreplica.TransportConfig{Log: cfg.Log})
 	defer transport.Close()
 	set := metrics.NewSet()
--- a/app/sqcontrol/server.go
+++ b/app/sqcontrol/server.go
@@ -10,6 +10,7 @@
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqstate"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqmachine"
 	"sequoiadock/io/sqreplica"
 	"sequoiadock/io/sqrpc"
 )
@@ -18,7 +19,7 @@
 type server struct {
 	cfg     Config
 	replica *sqreplica.Replica
-	machine *machine
+	machine *sqmachine.Machine
 	holder  *holder
 	// metrics are the replica's.
 	metrics *metrics.Set
@@ -72,7 +73,7 @@
 			Id: m.ID(), Name: m.Name(), Address: m.Address(), Zone: m.Zone(), Learner: m.Learner(),
 		})
 	}
-	s.machine.read(func(state *sqstate.State) {
+	s.machine.Read(func(state *sqstate.State) {
 		res.ConfigurationVersion = state.Version()
 		res.Orders = state.Orders()
 		res.UnsettledCalls = state.Calls(sqcommand.CallState_CALL_STATE_UNKNOWN)
--- a/app/sqcontrol/shares.go
+++ b/app/sqcontrol/shares.go
@@ -15,7 +15,7 @@
 // limit may be passed by what moved, for at most one watch period.
 func (h *holder) splitShares(now time.Time, t *tenure) {
 	var limits []sqadmit.LimitConfig
-	h.machine.read(func(s *sqstate.State) { limits = teamLimits(s.Configuration()) })
+	h.machine.Read(func(s *sqstate.State) { limits = teamLimits(s.Configuration()) })
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	cfg := sqadmit.SplitConfig{Limits: limits}
--- a/app/sqcontrol/tenure_test.go
+++ b/app/sqcontrol/tenure_test.go
@@ -7,15 +7,15 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiadock/core/sqfleet"
-	"sequoiadock/core/sqstate"
 	"sequoiadock/io/sqlog"
+	"sequoiadock/io/sqmachine"
 )
 
 // TestNumbersGoOnInATerm loses the lease and gets it back without an election:
 // no number may come again.
 func TestNumbersGoOnInATerm(t *testing.T) {
 	cfg := Config{Log: sqlog.New(sqlog.Config{Name: "test", Output: t.Output()})}
-	h := &holder{cfg: cfg, log: cfg.Log, machine: &machine{state: sqstate.New(sqstate.Config{})}}
+	h := &holder{cfg: cfg, log: cfg.Log, machine: sqmachine.New()}
 	first := h.begin(start(), start(), 3)
 	for range 5 {
 		h.fencing(first)
--- a/app/sqcontrol/watch.go
+++ b/app/sqcontrol/watch.go
@@ -30,7 +30,7 @@
 		return nil, sqrpc.ToTwirp(err)
 	}
 	res := &sqrpc.WatchResponse{FreshMillis: uint32(s.cfg.Timings.Fresh.Milliseconds())}
-	s.machine.read(func(state *sqstate.State) { fillConfiguration(state, req, res) })
+	s.machine.Read(func(state *sqstate.State) { fillConfiguration(state, req, res) })
 	s.holder.fillFleet(now, t, req, res)
 	s.holder.fillShares(now, t, req, res)
 	res.Answer = s.holder.numberAnswer(now, t, req)
@@ -45,7 +45,7 @@
 // seeEntry commits that an entry may hold a lease, before it gets its first one.
 func (h *holder) seeEntry(ctx context.Context, name string) error {
 	known := false
-	h.machine.read(func(s *sqstate.State) { known = s.HasEntry(name) })
+	h.machine.Read(func(s *sqstate.State) { known = s.HasEntry(name) })
 	if known {
 		return nil
 	}
@@ -56,7 +56,7 @@
 // forgetEntries gives up the places of entries that are gone for long.
 func (h *holder) forgetEntries(ctx context.Context, t *tenure) {
 	var known []string
-	h.machine.read(func(s *sqstate.State) { known = s.Entries() })
+	h.machine.Read(func(s *sqstate.State) { known = s.Entries() })
 	h.mu.Lock()
 	gone := t.entries.Gone(sqclock.Now(), known)
 	for _, name := range gone {
@@ -142,7 +142,7 @@
 
 func (h *holder) objectives() map[string]float64 {
 	m := make(map[string]float64)
-	h.machine.read(func(s *sqstate.State) {
+	h.machine.Read(func(s *sqstate.State) {
 		for _, svc := range s.Configuration().GetServices() {
 			m[svc.GetName()] = svc.GetObjectivePercent()
 		}
@@ -211,7 +211,7 @@
 // entries then.
 func (h *holder) waitInForce(ctx context.Context) (bool, error) {
 	var version, keyRevision uint64
-	h.machine.read(func(s *sqstate.State) {
+	h.machine.Read(func(s *sqstate.State) {
 		version = s.Version()
 		keyRevision = s.KeyRevision()
 	})
--- a/app/sqcontrol/windows.go
+++ b/app/sqcontrol/windows.go
@@ -22,7 +22,7 @@
 func (h *holder) reportWindows(ctx context.Context, t *tenure) {
 	h.freezeWindow(ctx, sqclock.Wall())
 	var windows []*sqcommand.UsageWindow
-	h.machine.read(func(s *sqstate.State) { windows = s.Windows() })
+	h.machine.Read(func(s *sqstate.State) { windows = s.Windows() })
 	for _, w := range windows {
 		if !w.GetReported() && !h.reportWindow(ctx, t, w) {
 			return
@@ -36,7 +36,7 @@
 	var size time.Duration
 	var last uint64
 	var from int64
-	h.machine.read(func(s *sqstate.State) {
+	h.machine.Read(func(s *sqstate.State) {
 		size = time.Duration(s.Configuration().GetFleet().GetBillingWindowSeconds()) * time.Second
 		last = s.LastWindow()
 		from = s.OpenUsageFrom()
--- /dev/null
+++ b/app/sqgateway/send.go
@@ -0,0 +1,325 @@
+package sqgateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"sequoiadock/core/sqattempt"
+	"sequoiadock/core/sqerror"
+	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqplace"
+	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqlink"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is not a stream.
+	maxAnswerBytes = 32 << 20
+	// onceMaxIdle is how long a connection may have been idle that carries a request
+	// which must not be repeated: the endpoint must not have closed it meanwhile.
+	onceMaxIdle = 1 * time.Second
+	// connectionPercent is the part of an endpoint's connections that gateways
+	// share; minConnections is what each may have at least.
+	connectionPercent = 80
+	minConnections    = 4
+	// unknownGateways is taken for the number of gateways while it is not known.
+	unknownGateways = 16
+)
+
+// serve sends the request to endpoints until it is answered.
+func (x *request) serve() {
+	x.g.mu.Lock()
+	x.g.retry.Note(x.begun, x.service)
+	x.g.demandOf(x.service).requests++
+	x.g.mu.Unlock()
+	for {
+		now := sqclock.Now()
+		if !x.g.view.Load().fresh(now) {
+			x.finish(x.stepWithout(now), "the gateway has not heard the holder", refusedRetry)
+			return
+		}
+		choice, ticket := x.choose(now)
+		if choice.Endpoint == nil {
+			x.finish(x.stepWithout(now), choice.Reason, choice.RetryAfter)
+			return
+		}
+		if x.sendOnce(now, choice, ticket) {
+			return
+		}
+	}
+}
+
+// choose places the request and notes it as in flight.
+func (x *request) choose(now time.Time) (sqplace.Choice, *sqplace.Ticket) {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	q := x.query(now)
+	choice := x.g.placer.Choose(now, q)
+	if choice.Endpoint == nil {
+		x.g.demandOf(x.service).refused++
+		return choice, nil
+	}
+	x.g.demandOf(x.service).unread += uint64(choice.Unread + choice.PrefillUnread)
+	expected := choice.Expected
+	if choice.Prefill != nil {
+		expected = 0
+	}
+	return choice, x.g.placer.Begin(now, choice.Endpoint, q, choice.Unread, expected)
+}
+
+func (x *request) query(now time.Time) *sqplace.Query {
+	return &sqplace.Query{
+		Service: x.service, Prompt: x.attempt.Prompt, Urgent: x.urgent, Left: x.left(now), Tried: x.tried,
+		Direct: x.direct || x.stream != nil,
+	}
+}
+
+// stepWithout returns what to do if no endpoint can take the request.
+func (x *request) stepWithout(now time.Time) sqattempt.Step {
+	outcome := sqattempt.Declined
+	if x.sends == 0 {
+		outcome = sqattempt.Unsent
+	}
+	return sqattempt.Next(sqattempt.State{Outcome: outcome, MayHaveRun: x.mayHaveRun, Sends: x.sends, Left: x.left(now)})
+}
+
+// result is how one send ended.
+type result struct {
+	outcome sqattempt.Outcome
+	reason  string
+	// answer is set if the endpoint failed by itself.
+	answer *answer
+	// reached is false if there was no connection.
+	reached bool
+}
+
+// answer is a whole answer of an endpoint.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// sendOnce sends the request to one endpoint; true means that it is answered.
+func (x *request) sendOnce(now time.Time, choice sqplace.Choice, ticket *sqplace.Ticket) bool {
+	x.expected = choice.Expected
+	source := ""
+	if choice.Prefill != nil {
+		var err error
+		if source, err = x.prefill(choice); err != nil {
+			x.end(ticket, true, true)
+			return x.afterPrefill(choice, err)
+		}
+	}
+	res, ok := x.exchange(choice, ticket, source)
+	if ok {
+		return true
+	}
+	x.end(ticket, false, res.reached)
+	if source != "" && res.outcome != sqattempt.Failed {
+		x.release(choice.Prefill, source)
+	}
+	return x.after(now, choice, res)
+}
+
+func (x *request) end(ticket *sqplace.Ticket, ok, reached bool) {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	if x.callerLeft() {
+		ticket.Abandon()
+		return
+	}
+	ticket.End(sqclock.Now(), ok, reached)
+}
+
+// after decides what follows a send that came to nothing.
+func (x *request) after(begun time.Time, choice sqplace.Choice, res result) bool {
+	now := sqclock.Now()
+	if res.outcome == sqattempt.Broken || res.outcome == sqattempt.Failed {
+		x.mayHaveRun = true
+		x.countRun()
+	}
+	if res.outcome != sqattempt.Unsent {
+		x.sends++
+	}
+	x.tried = append(x.tried, choice.Endpoint.ID())
+	s := sqattempt.State{
+		Outcome: res.outcome, Repeatable: x.route.Repeatable(), MayHaveRun: x.mayHaveRun, Sends: x.sends,
+		MaxSends: x.route.MaxAttempts(), Left: x.left(now), Budget: true, Alternative: true,
+	}
+	step := sqattempt.Next(s)
+	if step == sqattempt.Resend && res.outcome != sqattempt.Unsent && !x.takeBudget(now) {
+		s.Budget = false
+		step = sqattempt.Next(s)
+	}
+	x.g.log.Event(sqevent.SendFailed, x.attempt.ID, choice.Endpoint.ID(), res.outcome.String(), step.String(),
+		now.Sub(begun).Milliseconds(), res.reason)
+	if step == sqattempt.Resend && x.ctx.Err() == nil {
+		x.g.meter.resent.Inc()
+		return false
+	}
+	if step == sqattempt.PassOn && x.stream == nil {
+		x.pass(res.answer)
+		return true
+	}
+	x.finish(step, res.reason, refusedRetry)
+	return true
+}
+
+func (x *request) takeBudget(now time.Time) bool {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	return x.g.retry.Take(now, x.service)
+}
+
+// finish gives the final answer of a request that no endpoint answered.
+func (x *request) finish(step sqattempt.Step, reason string, retryAfter time.Duration) {
+	switch {
+	case step != sqattempt.Refuse && x.ctx.Err() != nil:
+		x.fail(http.StatusGatewayTimeout, "the deadline passed")
+	case step != sqattempt.Refuse:
+		x.fail(http.StatusBadGateway, reason)
+	case x.callerLeft():
+		x.fail(http.StatusServiceUnavailable, reason)
+	default:
+		x.refuse(http.StatusServiceUnavailable, reason, retryAfter)
+	}
+}
+
+// exchange sends the request to an endpoint and relays its answer; false means
+// that the caller got nothing of it yet, or that the stream has to go on.
+func (x *request) exchange(choice sqplace.Choice, ticket *sqplace.Ticket, source string) (result, bool) {
+	x.last = choice.Endpoint.ID()
+	call := x.call(choice.Endpoint, sqattempt.Send{CacheSource: source, ResumeAfter: x.resumeAfter()})
+	reply, err := x.g.pool.Do(x.ctx, call)
+	if err != nil {
+		return x.broken(err), false
+	}
+	defer reply.Close()
+	head := x.g.cfg.Wire.Answer(reply.Status(), reply.Header())
+	x.hear(choice.Endpoint, head)
+	switch {
+	case head.NotRun:
+		return result{outcome: sqattempt.Declined, reason: "the endpoint declined with " + http.StatusText(reply.Status()), reached: true}, false
+	case reply.Status()/100 == 2 && !head.Signed:
+		return result{outcome: sqattempt.Broken, reason: "the answer is not signed", reached: true}, false
+	case x.streams(reply.Status()):
+		return x.relay(reply, ticket)
+	default:
+		return x.whole(reply, ticket)
+	}
+}
+
+// broken returns the result of an error of the connection.
+func (x *request) broken(err error) result {
+	switch sqerror.KindOf(err) {
+	case sqerror.Unreachable:
+		return result{outcome: sqattempt.Unsent, reason: err.Error()}
+	case sqerror.Overloaded:
+		return result{outcome: sqattempt.Unsent, reason: err.Error(), reached: true}
+	default:
+		return result{outcome: sqattempt.Broken, reason: err.Error(), reached: true}
+	}
+}
+
+func (x *request) hear(e *sqplace.Endpoint, head sqattempt.Answer) {
+	if !head.HasLoad {
+		return
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.placer.Hear(sqclock.Now(), e.ID(), head.Load)
+}
+
+// call returns the request as the endpoint gets it.
+func (x *request) call(e *sqplace.Endpoint, s sqattempt.Send) *sqlink.Call {
+	now := sqclock.Now()
+	s.Endpoint, s.Team, s.Left, s.Priority = e.ID(), x.team, x.left(now), x.priority
+	h := x.r.Header.Clone()
+	x.g.cfg.Wire.Prepare(h, s)
+	call := &sqlink.Call{
+		Endpoint: e.ID(), Address: e.Address(), Method: x.r.Method, Target: x.target(), Host: x.r.Host, Header: h, Body: x.body,
+		Matches: x.matches, MaxConnections: x.maxConnections(),
+	}
+	if !x.route.Repeatable() {
+		call.MaxIdle = onceMaxIdle
+	}
+	return call
+}
+
+// matches reports whether an answer belongs to the request. An answer without an
+// identity does: some failures have none.
+func (x *request) matches(status int, h http.Header) bool {
+	id := x.g.cfg.Wire.Answer(status, h).ID
+	return id == "" || id == x.attempt.ID
+}
+
+// maxConnections returns this gateway's part of an endpoint's connections.
+func (x *request) maxConnections() int {
+	s := x.table.Service(x.service)
+	if s == nil || s.MaxConnections() == 0 {
+		return 0
+	}
+	gateways := x.g.view.Load().count
+	if gateways == 0 {
+		gateways = unknownGateways
+	}
+	return max(minConnections, s.MaxConnections()*connectionPercent/100/gateways)
+}
+
+// whole reads an answer that is no stream and passes it on.
+func (x *request) whole(reply *sqlink.Reply, ticket *sqplace.Ticket) (result, bool) {
+	body, err := io.ReadAll(io.LimitReader(reply, maxAnswerBytes+1))
+	if err != nil {
+		return x.broken(err), false
+	}
+	if len(body) > maxAnswerBytes {
+		return result{outcome: sqattempt.Broken, reason: "the answer is too long", reached: true}, false
+	}
+	a := &answer{status: reply.Status(), header: reply.Header(), body: body}
+	if a.status >= http.StatusInternalServerError || x.stream != nil {
+		return result{outcome: sqattempt.Failed, reason: "the endpoint answered " + http.StatusText(a.status), answer: a, reached: true}, false
+	}
+	x.countRun()
+	x.end(ticket, true, true)
+	x.sends++
+	x.pass(a)
+	return result{}, true
+}
+
+// pass gives a whole answer of an endpoint to the caller. A status that would say
+// that the request has not run is not passed on: the endpoint did not say so.
+func (x *request) pass(a *answer) {
+	if promisesNotRun(a.status) {
+		x.fail(http.StatusBadGateway, "the endpoint answered "+http.StatusText(a.status)+" to a request that may have run")
+		return
+	}
+	x.writeHead(a.status, a.header, len(a.body))
+	if _, err := x.w.Write(a.body); err != nil {
+		x.fail(a.status, "the caller's connection broke off")
+		return
+	}
+	x.done(a.status)
+}
+
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// countRun counts the request for billing, once.
+func (x *request) countRun() {
+	if x.counted || x.team == "" {
+		return
+	}
+	x.counted = true
+	now := sqclock.Now()
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.counter.Add(x.g.view.Load().date(now), x.team)
+}
--- /dev/null
+++ b/app/sqgateway/watch.go
@@ -0,0 +1,207 @@
+package sqgateway
+
+import (
+	"context"
+	"time"
+
+	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqtable"
+	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqrpc"
+)
+
+const (
+	// beatEvery is the time between two beats, retryEvery that after one without
+	// an answer; beatTimeout bounds one.
+	beatEvery   = 200 * time.Millisecond
+	retryEvery  = 50 * time.Millisecond
+	beatTimeout = 600 * time.Millisecond
+)
+
+// view is what the gateway knows from the holder. It never changes.
+type view struct {
+	table *sqtable.Table
+	// freshUntil is the end of the freshness lease on sqclock's clock.
+	freshUntil time.Time
+	revision   uint64
+	// listed has the identities of all endpoints.
+	listed   map[string]bool
+	gateways []*sqrpc.GatewayAddress
+	// count is how many gateways share limits, 0 while unknown.
+	count int
+	// offset is the true time less sqclock's.
+	offset time.Duration
+	holder string
+}
+
+// fresh reports whether the gateway may act on the view.
+func (v *view) fresh(now time.Time) bool { return v.table != nil && now.Before(v.freshUntil) }
+
+// date returns the true time.
+func (v *view) date(now time.Time) time.Time { return now.Add(v.offset) }
+
+// ready reports whether callers should come here.
+func (g *gateway) ready() bool {
+	v := g.view.Load()
+	return !g.leaving.Load() && v.fresh(sqclock.Now()) && v.revision != 0
+}
+
+func (g *gateway) wakeUp() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// beats exchanges beats with the holder until ctx ends.
+func (g *gateway) beats(ctx context.Context) {
+	silentSince := sqclock.Now()
+	for {
+		pause := beatEvery
+		address := g.locator.Holder()
+		if err := g.beat(ctx, address); err != nil {
+			pause = retryEvery
+			g.locator.Failed(address, sqrpc.Holder(err))
+			g.noteSilence(address, silentSince, err)
+		} else {
+			silentSince = sqclock.Now()
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-g.wake:
+			t.Stop()
+		case <-t.C:
+		}
+	}
+}
+
+// noteSilence logs the end of the freshness lease, once, and its causes.
+func (g *gateway) noteSilence(address string, since time.Time, err error) {
+	now := sqclock.Now()
+	v := g.view.Load()
+	if v.holder != "" {
+		g.log.Event(sqevent.HolderSilent, address, err.Error())
+	}
+	if v.holder == "" || v.fresh(now) {
+		return
+	}
+	lost := *v
+	lost.holder = ""
+	g.view.Store(&lost)
+	g.log.Event(sqevent.LeaseLost, now.Sub(since).Milliseconds(), err.Error())
+}
+
+// beat tells the holder what happened here and takes what is new.
+func (g *gateway) beat(ctx context.Context, address string) error {
+	sent := sqclock.Now()
+	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.client)
+	res, err := client.Beat(ctx, g.report())
+	if err != nil {
+		return sqrpc.FromTwirp(err)
+	}
+	g.accept(sent, sqclock.Now(), res)
+	return nil
+}
+
+// report returns what the holder has to know.
+func (g *gateway) report() *sqrpc.BeatRequest {
+	v := g.view.Load()
+	req := &sqrpc.BeatRequest{
+		Gateway: g.cfg.Name, Run: g.run, Zone: g.cfg.Zone, Region: g.cfg.Region, Address: g.cfg.Callers,
+		Leaving: g.leaving.Load(), FleetRevision: v.revision, WallUnixNano: sqclock.Wall().UnixNano(),
+	}
+	if v.table != nil {
+		req.TableVersion = v.table.Version()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, n := range g.counter.Counts() {
+		req.Counts = append(req.Counts, &sqrpc.WindowCounts{Window: n.Window, Team: n.Team, Requests: n.Requests})
+	}
+	for id, l := range g.placer.Loads() {
+		req.Loads = append(req.Loads, &sqrpc.InFlight{Id: id, Running: uint32(l.Running), UnreadTokens: uint64(l.Unread)})
+	}
+	for service, d := range g.demand {
+		req.Demand = append(req.Demand, d.message(service))
+	}
+	return req
+}
+
+// accept takes the holder's answer to a beat that was sent at sent. The lease is
+// counted from there: the holder read its state later.
+func (g *gateway) accept(sent, received time.Time, res *sqrpc.BeatResponse) {
+	old := g.view.Load()
+	v := *old
+	if old.table != nil && res.GetTableVersion() < old.table.Version() {
+		// The state never goes back; an answer that does is not to be acted on.
+		g.log.Event(sqevent.TableUnreadable, res.GetTableVersion(), "older than the one in force")
+		return
+	}
+	if !g.acceptTable(&v, res) {
+		return
+	}
+	g.acceptFleet(&v, res)
+	v.freshUntil = sent.Add(time.Duration(res.GetFreshMillis()) * time.Millisecond)
+	v.gateways = res.GetGateways()
+	v.offset = time.Duration(res.GetTrueUnixNano() - sent.Add(received.Sub(sent)/2).UnixNano())
+	if n := int(res.GetGatewayCount()); n > 0 {
+		v.count = n
+	}
+	if v.holder != res.GetHolder() {
+		g.log.Event(sqevent.LeaseGained, res.GetHolder(), res.GetTableVersion(), res.GetFleetRevision())
+	}
+	v.holder = res.GetHolder()
+	g.locator.Set(res.GetControls())
+	g.mu.Lock()
+	g.retry.SetGateways(v.count)
+	g.placer.SetOthers(loadsOf(res.GetOthers()))
+	g.mu.Unlock()
+	g.view.Store(&v)
+}
+
+// acceptTable takes a new routing table; false means that it cannot be used.
+func (g *gateway) acceptTable(v *view, res *sqrpc.BeatResponse) bool {
+	if len(res.GetTableDocument()) == 0 {
+		return true
+	}
+	table, err := g.cfg.Wire.Table(res.GetTableDocument())
+	if err != nil {
+		g.log.Event(sqevent.TableUnreadable, res.GetTableVersion(), err.Error())
+		return false
+	}
+	v.table = table
+	g.mu.Lock()
+	g.placer.SetServices(table.Services())
+	g.mu.Unlock()
+	g.log.Event(sqevent.TableInForce, table.Version())
+	return true
+}
+
+func (g *gateway) acceptFleet(v *view, res *sqrpc.BeatResponse) {
+	if res.GetFleetRevision() == 0 || res.GetFleetRevision() == v.revision {
+		return
+	}
+	fleet := make([]sqplace.Endpoint, 0, len(res.GetEndpoints()))
+	v.listed = make(map[string]bool, len(res.GetEndpoints()))
+	for _, l := range res.GetEndpoints() {
+		fleet = append(fleet, sqrpc.ToEndpoint(l))
+		v.listed[l.GetId()] = true
+	}
+	v.revision = res.GetFleetRevision()
+	g.mu.Lock()
+	g.placer.SetFleet(fleet)
+	g.mu.Unlock()
+	g.log.Event(sqevent.FleetInForce, v.revision, len(fleet))
+}
+
+func loadsOf(list []*sqrpc.InFlight) map[string]sqplace.Load {
+	loads := make(map[string]sqplace.Load, len(list))
+	for _, l := range list {
+		loads[l.GetId()] = sqplace.Load{Running: int(l.GetRunning()), Unread: int(l.GetUnreadTokens())}
+	}
+	return loads
+}
--- a/app/sqprocess/sqprocess.go
+++ b/app/sqprocess/sqprocess.go
@@ -26,14 +26,18 @@
 	exitSettings = 3
 )
 
-// Run runs the process that name stands for, "control" or "entry", and returns
-// its exit code. The second result is false for any other name.
+// Run runs the process that name stands for, "control", "entry", "coordinator"
+// or "gateway", and returns its exit code. The second result is false for any other name.
 func Run(name string, args []string, stderr io.Writer) (code int, known bool) {
 	switch name {
 	case "control":
 		return start(name, args, stderr, control), true
 	case "entry":
 		return start(name, args, stderr, entry), true
+	case "coordinator":
+		return start(name, args, stderr, coordinator), true
+	case "gateway":
+		return start(name, args, stderr, gateway), true
 	default:
 		return exitUsage, false
 	}
--- a/core/sqevent/catalogue.go
+++ b/core/sqevent/catalogue.go
@@ -6,13 +6,19 @@
 	Stopping = Event{1002, Info, "process stopping", []string{"role", "name", "reason"}}
 	Stopped  = Event{1003, Info, "process stopped", []string{"role", "name"}}
 	Failed   = Event{1004, Error, "process failed", []string{"role", "name", "error"}}
+
+	SettingsReloaded = Event{1005, Info, "settings reloaded", []string{"role", "seeds"}}
+	SettingsKept     = Event{1006, Error, "changed settings have faults and are not used", []string{"role", "error"}}
+	LinesDropped     = Event{1007, Warn, "log lines were dropped", []string{"lines"}}
 )
 
 // Catalogue returns every event, by rising number.
 func Catalogue() []Event {
-	all := []Event{Started, Stopping, Stopped, Failed}
+	all := []Event{Started, Stopping, Stopped, Failed, SettingsReloaded, SettingsKept, LinesDropped}
 	all = append(all, replicaEvents...)
 	all = append(all, controlEvents...)
 	all = append(all, entryEvents...)
+	all = append(all, coordinatorEvents...)
+	all = append(all, gatewayEvents...)
 	return all
 }
--- /dev/null
+++ b/core/sqplace/ticket.go
@@ -0,0 +1,83 @@
+package sqplace
+
+import (
+	"time"
+
+	"sequoiadock/core/sqattempt"
+)
+
+// Ticket is a request in flight at an endpoint.
+type Ticket struct {
+	node     *node
+	pool     *pool
+	begun    time.Time
+	unread   int
+	expected time.Duration
+	first    bool
+	ended    bool
+}
+
+// Begin notes that a request is being sent to the endpoint, which has unread
+// tokens of its prompt to read; expected is the time to its first token.
+func (p *Placer) Begin(now time.Time, e *Endpoint, q *Query, unread int, expected time.Duration) *Ticket {
+	n := p.nodes[e.ID()]
+	if n == nil {
+		n = newNode()
+	}
+	s := p.pool(q.Service)
+	n.own.Running++
+	n.own.Unread += unread
+	p.noteParts(now, s, n, &q.Prompt)
+	return &Ticket{node: n, pool: s, begun: now, unread: unread, expected: expected}
+}
+
+// noteParts notes that the endpoint will have the shared parts of a prompt.
+func (p *Placer) noteParts(now time.Time, s *pool, n *node, prompt *sqattempt.Prompt) {
+	if s.engine == nil {
+		return
+	}
+	names, _ := chains(prompt)
+	for i, name := range names {
+		n.cache.touch(now, name, prompt.Parts[i].Tokens, s.engine.CacheTokens*cacheUsePercent/100)
+	}
+}
+
+// First notes the first token.
+func (t *Ticket) First(now time.Time) {
+	if t.first || t.ended {
+		return
+	}
+	t.first = true
+	t.node.own.Unread -= t.unread
+	t.pool.learnPace(t.node.endpoint.Stage(), t.expected, now.Sub(t.begun))
+}
+
+// End notes the end of the request. Reached is false if no connection to the
+// endpoint could be made.
+func (t *Ticket) End(now time.Time, ok, reached bool) {
+	if t.ended {
+		return
+	}
+	if !t.first {
+		t.node.own.Unread -= t.unread
+	}
+	t.ended = true
+	t.node.own.Running--
+	t.node.noteOutcome(now, ok, reached)
+	if ok {
+		t.pool.learnDuration(now.Sub(t.begun))
+	}
+}
+
+// Abandon notes that the caller left before the end; it says nothing about the
+// endpoint.
+func (t *Ticket) Abandon() {
+	if t.ended {
+		return
+	}
+	if !t.first {
+		t.node.own.Unread -= t.unread
+	}
+	t.ended = true
+	t.node.own.Running--
+}
--- a/core/sqstate/snapshot.go
+++ b/core/sqstate/snapshot.go
@@ -45,6 +45,8 @@
 	}
 	sort.Strings(out.Draining)
 	out.Entries = s.Entries()
+	out.TableVersion, out.TableDocument = s.Table()
+	out.CountWindows = s.CountWindows()
 	return out
 }
 
@@ -76,6 +78,7 @@
 	for _, name := range in.GetEntries() {
 		s.entries[name] = true
 	}
+	s.restoreTable(in)
 }
 
 func (s *State) restoreOrders(in *sqcommand.State) {
--- a/core/sqstate/state.go
+++ b/core/sqstate/state.go
@@ -49,6 +49,11 @@
 	usage      usageTable
 	draining   map[string]bool
 	entries    map[string]bool
+	// tableVersion and tableDocument are the routing table in force.
+	tableVersion  uint64
+	tableDocument []byte
+	// countWindows are in rising order of number.
+	countWindows []*sqcommand.CountWindow
 }
 
 // New returns the empty state of a new deployment.
@@ -84,6 +89,7 @@
 	s.usage = newUsageTable(s.cfg.MaxWindows, s.cfg.MaxSources)
 	s.draining = make(map[string]bool)
 	s.entries = make(map[string]bool)
+	s.tableVersion, s.tableDocument, s.countWindows = 0, nil, nil
 }
 
 // Version returns the number of the configuration in force, 0 for none.
@@ -137,6 +143,12 @@
 		return s.setDrain(b.SetDrain)
 	case *sqcommand.Command_SeeEntry:
 		return s.seeEntry(b.SeeEntry)
+	case *sqcommand.Command_Declare:
+		return s.declare(b.Declare)
+	case *sqcommand.Command_FreezeCounts:
+		return s.freezeCounts(b.FreezeCounts)
+	case *sqcommand.Command_MarkCounts:
+		return s.markCounts(b.MarkCounts)
 	default:
 		// A newer version may write commands that this one does not know. All
 		// replicas of one version agree, but the answer says that it did nothing.
--- a/io/sqguard/sqguard.go
+++ b/io/sqguard/sqguard.go
@@ -29,6 +29,10 @@
 	Now func() time.Time
 	// Timeout bounds one exchange, from dialing to the end of the answer.
 	Timeout time.Duration
+	// Fenced is set if the receiver refuses a fencing number below the highest it
+	// has seen. A write that a frozen process makes long after its check then has
+	// no effect, and no kernel timer is needed to stop it.
+	Fenced bool
 }
 
 // Guard makes guarded connections. It is safe for concurrent use.
@@ -98,6 +102,9 @@
 	if err := c.SetWriteDeadline(time.Now().Add(left)); err != nil {
 		return 0, err
 	}
+	if c.guard.cfg.Fenced {
+		return c.Conn.Write(b)
+	}
 	return c.writeWatched(b, until)
 }
 
--- a/app/sqcontrol/machine.go
+++ b/io/sqmachine/sqmachine.go
@@ -1,4 +1,6 @@
-package sqcontrol
+// Package sqmachine lets a replica change the replicated state while others read
+// it.
+package sqmachine
 
 import (
 	"sync"
@@ -10,32 +12,33 @@
 	"sequoiadock/core/sqstate"
 )
 
-// machine lets the replica change the state while requests read it.
-type machine struct {
+// Machine lets the replica change the state while requests read it.
+type Machine struct {
 	mu    sync.RWMutex
 	state *sqstate.State
 }
 
-func newMachine() *machine {
-	return &machine{state: sqstate.New(sqstate.Config{})}
+// New returns the machine of an empty state.
+func New() *Machine {
+	return &Machine{state: sqstate.New(sqstate.Config{})}
 }
 
 // Apply implements sqreplica.Machine.
-func (m *machine) Apply(_ uint64, command []byte) []byte {
+func (m *Machine) Apply(_ uint64, command []byte) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.state.ApplyBytes(command)
 }
 
 // Snapshot implements sqreplica.Machine.
-func (m *machine) Snapshot() []byte {
+func (m *Machine) Snapshot() []byte {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return sqstate.Encode(m.state.Snapshot())
 }
 
 // Restore implements sqreplica.Machine.
-func (m *machine) Restore(snapshot []byte) error {
+func (m *Machine) Restore(snapshot []byte) error {
 	var s sqcommand.State
 	if err := proto.Unmarshal(snapshot, &s); err != nil {
 		return sqerror.New(sqerror.Config{Kind: sqerror.DamagedFile, Detail: "undecodable snapshot", Cause: err})
@@ -46,8 +49,8 @@
 	return nil
 }
 
-// read calls f with the state, which f must neither change nor keep.
-func (m *machine) read(f func(s *sqstate.State)) {
+// Read calls f with the state, which f must neither change nor keep.
+func (m *Machine) Read(f func(s *sqstate.State)) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	f(m.state)
--- /dev/null
+++ b/io/sqrpc/endpoint.go
@@ -0,0 +1,24 @@
+package sqrpc
+
+import (
+	"time"
+
+	"sequoiadock/core/sqplace"
+)
+
+// FromEndpoint returns the form of an endpoint between processes.
+func FromEndpoint(e *sqplace.Endpoint) *ListedEndpoint {
+	return &ListedEndpoint{
+		Id: e.ID(), Service: e.Service(), Address: e.Address(), Zone: e.Zone(), Slots: uint32(e.Slots()),
+		Draining: e.Draining(), Stage: uint32(e.Stage()), ColdMillis: uint32(e.Cold().Milliseconds()), Spot: e.Spot(),
+	}
+}
+
+// ToEndpoint returns the endpoint that another process sent.
+func ToEndpoint(l *ListedEndpoint) sqplace.Endpoint {
+	return sqplace.NewEndpoint(sqplace.EndpointConfig{
+		ID: l.GetId(), Service: l.GetService(), Address: l.GetAddress(), Zone: l.GetZone(), Slots: int(l.GetSlots()),
+		Draining: l.GetDraining(), Stage: sqplace.Stage(l.GetStage()),
+		Cold: time.Duration(l.GetColdMillis()) * time.Millisecond, Spot: l.GetSpot(),
+	})
+}
--- a/io/sqsettings/sqsettings.go
+++ b/io/sqsettings/sqsettings.go
@@ -64,3 +64,35 @@
 		Cause:  err,
 	})
 }
+
+// ReadCoordinator reads and checks the settings of a coordinator. It returns the
+// settings, or every fault in the file.
+func ReadCoordinator(path string) (*Coordinator, []*sqerror.Error) {
+	data, fault := read(path)
+	if fault != nil {
+		return nil, []*sqerror.Error{fault}
+	}
+	var f coordinatorFile
+	c := &checker{sqtoml.NewChecker(path, data, &f)}
+	settings := f.coordinator(c)
+	if faults := c.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	return settings, nil
+}
+
+// ReadGateway reads and checks the settings of a gateway. It returns the
+// settings, or every fault in the file.
+func ReadGateway(path string) (*Gateway, []*sqerror.Error) {
+	data, fault := read(path)
+	if fault != nil {
+		return nil, []*sqerror.Error{fault}
+	}
+	var f gatewayFile
+	c := &checker{sqtoml.NewChecker(path, data, &f)}
+	settings := f.gateway(c)
+	if faults := c.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	return settings, nil
+}
--- a/io/sqwatch/controls.go
+++ b/io/sqwatch/controls.go
@@ -7,26 +7,21 @@
 	"time"
 
 	"sequoiadock/core/sqerror"
+	"sequoiadock/io/sqlocate"
 	"sequoiadock/io/sqrpc"
 )
 
 // controls finds the lease holder among the control processes.
 type controls struct {
-	addresses []string
-	client    *http.Client
+	*sqlocate.Locator
+	client *http.Client
 
 	mu      sync.Mutex
-	holder  string
-	next    int
 	clients map[string]sqrpc.Control
 }
 
 func newControls(addresses []string, client *http.Client) *controls {
-	c := &controls{addresses: addresses, client: client, clients: map[string]sqrpc.Control{}}
-	if len(addresses) > 0 {
-		c.holder = addresses[0]
-	}
-	return c
+	return &controls{Locator: sqlocate.New(addresses), client: client, clients: map[string]sqrpc.Control{}}
 }
 
 func newHTTPClient(connect time.Duration) *http.Client {
@@ -42,9 +37,10 @@
 
 // current returns the control that is believed to hold the lease.
 func (c *controls) current() (string, sqrpc.Control) {
+	holder := c.Holder()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.holder, c.clientOf(c.holder)
+	return holder, c.clientOf(holder)
 }
 
 func (c *controls) clientOf(address string) sqrpc.Control {
@@ -58,21 +54,7 @@
 
 // failed moves on from a control that did not answer as the holder.
 func (c *controls) failed(address string, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.holder != address || len(c.addresses) == 0 {
-		// Another caller has moved on already.
-		return
-	}
-	if named := sqrpc.Holder(err); named != "" && named != address {
-		c.holder = named
-		return
-	}
-	c.next = (c.next + 1) % len(c.addresses)
-	if c.addresses[c.next] == address {
-		c.next = (c.next + 1) % len(c.addresses)
-	}
-	c.holder = c.addresses[c.next]
+	c.Failed(address, sqrpc.Holder(err))
 }
 
 // noUse reports whether a control was silent, or answered with what is too old.
