A new holder within 3 s of a freeze; decode engines chosen after reading; disk failures outlived

Gateways went back to it because others still named it, and requests that had waited 2 s for a prefill engine were sent to the decode engine that had been chosen before. Ruled out: a late list (read each 0.5 s, 0.8 s behind).

--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -38,10 +38,20 @@
 	proposeTimeout = 2 * time.Second
 	// stopTimeout bounds the end of calls that run when the process stops.
 	stopTimeout = 1 * time.Second
+	// diskRetry is how long a process waits before it opens a disk that failed.
+	diskRetry = 1 * time.Second
 	// headerTimeout bounds the headers of a call.
 	headerTimeout = 5 * time.Second
 )
 
+// Times of the group. They are shorter than the replica's own defaults: gateways
+// must hear a new holder well before they lose their freshness leases.
+const (
+	heartbeat = 100 * time.Millisecond
+	election  = 700 * time.Millisecond
+	lease     = 600 * time.Millisecond
+)
+
 // deployment is the name that all replicas of a group share.
 const deployment = "gateways"
 
@@ -96,8 +106,22 @@
 	tenure *tenure
 }
 
-// Run runs a coordinator until ctx ends or its disk fails.
+// Run runs a coordinator until ctx ends. When its disk fails, it takes part in
+// nothing and tries again: a full disk may be emptied, a stalled one come back.
 func Run(ctx context.Context, cfg Config) error {
+	for {
+		err := run(ctx, cfg)
+		if kind := sqerror.KindOf(err); kind != sqerror.DiskFailed && kind != sqerror.DamagedFile {
+			return err
+		}
+		cfg.Log.Event(sqevent.DiskRetried, err.Error(), diskRetry.Milliseconds())
+		if !sqclock.Sleep(ctx, diskRetry) {
+			return nil
+		}
+	}
+}
+
+func run(ctx context.Context, cfg Config) error {
 	c := &coordinator{
 		cfg: cfg, machine: sqmachine.New(), locator: sqlocate.New(cfg.Seeds), log: cfg.Log,
 		client:  &http.Client{Timeout: callTimeout, Transport: newTransport()},
@@ -112,6 +136,7 @@
 	c.replica, err = sqreplica.Open(sqreplica.Config{
 		Name: cfg.Name, Zone: cfg.Zone, Address: cfg.Internal, Folder: cfg.DataFolder, Deployment: deployment,
 		Machine: c.machine, Transport: transport, Log: cfg.Log, Metrics: c.metrics,
+		Heartbeat: heartbeat, ElectionTimeout: election, Lease: lease,
 	})
 	if err != nil {
 		return err
@@ -122,6 +147,7 @@
 	}
 	operators, err := listen(cfg.Operators)
 	if err != nil {
+		_ = internal.Close()
 		return err
 	}
 	return c.serve(ctx, internal, operators)
--- a/app/sqcoordinator/duties.go
+++ b/app/sqcoordinator/duties.go
@@ -8,6 +8,7 @@
 	"sequoiadock/core/sqcommand"
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqstate"
 	"sequoiadock/core/sqwindow"
 	"sequoiadock/io/sqclock"
@@ -18,46 +19,54 @@
 	// looking for windows to report.
 	listEvery  = 500 * time.Millisecond
 	usageEvery = 250 * time.Millisecond
+	// listLooks is how often in listEvery the holder looks whether a reading is due.
+	listLooks = 5
 	// windowsAtOnce bounds the windows that are frozen in one period.
 	windowsAtOnce = 8
 )
 
-// readList reads the platform's list while this process holds the lease.
+// readList reads the platform's list while this process holds the lease, and at
+// once when it has got it.
 func (c *coordinator) readList(ctx context.Context) {
-	every(ctx, listEvery, func() {
-		t, err := c.current(sqclock.Now())
-		if err != nil {
+	var last time.Time
+	var of *tenure
+	every(ctx, listEvery/listLooks, func() {
+		now := sqclock.Now()
+		t, err := c.current(now)
+		if err != nil || t == of && now.Sub(last) < listEvery {
 			return
 		}
+		of, last = t, now
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		list, unreadable, err := c.platform.Endpoints(ctx)
-		now := sqclock.Now()
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if err != nil {
-			if !t.silent {
-				c.log.Event(sqevent.ListUnread, now.Sub(t.listedAt).Milliseconds(), err.Error())
-			}
-			t.silent = true
-			return
-		}
-		if t.silent {
-			c.log.Event(sqevent.ListReadAgain, len(list))
-		}
-		t.silent, t.listedAt = false, now
-		if t.fleet != nil && slices.Equal(t.fleet, list) {
-			return
-		}
-		t.fleet = append(list[:0:0], list...)
-		if t.fleet == nil {
-			t.fleet = list[:0]
-		}
-		t.revision++
-		c.log.Event(sqevent.ListChanged, t.revision, len(list), unreadable)
+		c.noteList(sqclock.Now(), t, list, unreadable, err)
 	})
 }
 
+// noteList takes a reading of the list.
+func (c *coordinator) noteList(now time.Time, t *tenure, list []sqplace.Endpoint, unreadable int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		if !t.silent {
+			c.log.Event(sqevent.ListUnread, now.Sub(t.listedAt).Milliseconds(), err.Error())
+		}
+		t.silent = true
+		return
+	}
+	if t.silent {
+		c.log.Event(sqevent.ListReadAgain, len(list))
+	}
+	t.silent, t.listedAt = false, now
+	if t.fleet != nil && slices.Equal(t.fleet, list) {
+		return
+	}
+	t.fleet = append([]sqplace.Endpoint{}, list...)
+	t.revision++
+	c.log.Event(sqevent.ListChanged, t.revision, len(list), unreadable)
+}
+
 // reportUsage freezes windows and reports them while this process holds the
 // lease. The figures are committed first, so that whoever reports a window
 // reports the same ones.
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -39,33 +39,47 @@
 			x.finish(x.stepWithout(now), "the gateway has not heard the holder", refusedRetry)
 			return
 		}
-		choice, ticket := x.choose(now)
+		choice := x.choose(now)
 		if choice.Endpoint == nil {
 			x.finish(x.stepWithout(now), choice.Reason, choice.RetryAfter)
 			return
 		}
-		if x.sendOnce(now, choice, ticket) {
+		if x.sendOnce(choice) {
 			return
 		}
 	}
 }
 
-// choose places the request and notes it as in flight.
-func (x *request) choose(now time.Time) (sqplace.Choice, *sqplace.Ticket) {
+// choose places the request.
+func (x *request) choose(now time.Time) sqplace.Choice {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	q := x.query(now)
-	choice := x.g.placer.Choose(now, q)
+	choice := x.g.placer.Choose(now, x.query(now))
+	d := x.g.demandOf(x.service)
 	if choice.Endpoint == nil {
-		x.g.demandOf(x.service).refused++
-		return choice, nil
+		d.refused++
+		return choice
 	}
-	x.g.demandOf(x.service).unread += uint64(choice.Unread + choice.PrefillUnread)
-	expected := choice.Expected
 	if choice.Prefill != nil {
-		expected = 0
+		choice.Unread = 0
 	}
-	return choice, x.g.placer.Begin(now, choice.Endpoint, q, choice.Unread, expected)
+	d.unread += uint64(choice.Unread + choice.PrefillUnread)
+	return choice
+}
+
+// chooseDecode places a request whose prompt was read. The list may have changed
+// since the prompt was sent.
+func (x *request) chooseDecode(now time.Time) sqplace.Choice {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	return x.g.placer.ChooseDecode(now, x.query(now))
+}
+
+// begin notes the request as in flight at the endpoint.
+func (x *request) begin(now time.Time, e *sqplace.Endpoint, unread int, expected time.Duration) *sqplace.Ticket {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	return x.g.placer.Begin(now, e, x.query(now), unread, expected)
 }
 
 func (x *request) query(now time.Time) *sqplace.Query {
@@ -101,26 +115,46 @@
 	body   []byte
 }
 
-// sendOnce sends the request to one endpoint; true means that it is answered.
-func (x *request) sendOnce(now time.Time, choice sqplace.Choice, ticket *sqplace.Ticket) bool {
+// sendOnce sends the request to one endpoint, after another one has read its
+// prompt if the choice says so; true means that it is answered.
+func (x *request) sendOnce(choice sqplace.Choice) bool {
 	x.expected = choice.Expected
-	source := ""
-	if choice.Prefill != nil {
-		var err error
-		if source, err = x.prefill(choice); err != nil {
-			x.end(ticket, true, true)
-			return x.afterPrefill(choice, err)
-		}
+	if choice.Prefill == nil {
+		return x.sendTo(choice.Endpoint, choice, "")
+	}
+	source, err := x.prefill(choice)
+	if err != nil {
+		return x.afterPrefill(choice, err)
+	}
+	now := sqclock.Now()
+	decode := x.chooseDecode(now)
+	if decode.Endpoint == nil || !x.g.view.Load().fresh(now) {
+		x.release(choice.Prefill, source)
+		x.finish(x.stepWithout(now), decode.Reason, refusedRetry)
+		return true
+	}
+	return x.sendTo(decode.Endpoint, choice, source)
+}
+
+// sendTo sends the request to an endpoint, which fetches the KV cache from the
+// source if there is one.
+func (x *request) sendTo(e *sqplace.Endpoint, choice sqplace.Choice, source string) bool {
+	begun := sqclock.Now()
+	expected := choice.Expected
+	if source != "" {
+		// Reading was no part of it, so nothing can be learnt from it.
+		expected = 0
 	}
-	res, ok := x.exchange(choice, ticket, source)
-	if ok {
+	ticket := x.begin(begun, e, choice.Unread, expected)
+	res, answered := x.exchange(e, ticket, source)
+	if answered {
 		return true
 	}
 	x.end(ticket, false, res.reached)
 	if source != "" && res.outcome != sqattempt.Failed {
 		x.release(choice.Prefill, source)
 	}
-	return x.after(now, choice, res)
+	return x.after(begun, e, res)
 }
 
 func (x *request) end(ticket *sqplace.Ticket, ok, reached bool) {
@@ -136,7 +170,7 @@
 }
 
 // after decides what follows a send that came to nothing.
-func (x *request) after(begun time.Time, choice sqplace.Choice, res result) bool {
+func (x *request) after(begun time.Time, e *sqplace.Endpoint, res result) bool {
 	now := sqclock.Now()
 	if res.outcome == sqattempt.Broken || res.outcome == sqattempt.Failed {
 		x.mayHaveRun = true
@@ -145,7 +179,7 @@
 	if res.outcome != sqattempt.Unsent {
 		x.sends++
 	}
-	x.tried = append(x.tried, choice.Endpoint.ID())
+	x.tried = append(x.tried, e.ID())
 	s := sqattempt.State{
 		Outcome: res.outcome, Repeatable: x.route.Repeatable(), MayHaveRun: x.mayHaveRun, Sends: x.sends,
 		MaxSends: x.route.MaxAttempts(), Left: x.left(now), Budget: true, Alternative: true,
@@ -155,7 +189,7 @@
 		s.Budget = false
 		step = sqattempt.Next(s)
 	}
-	x.g.log.Event(sqevent.SendFailed, x.attempt.ID, choice.Endpoint.ID(), res.outcome.String(), step.String(),
+	x.g.log.Event(sqevent.SendFailed, x.attempt.ID, e.ID(), res.outcome.String(), step.String(),
 		now.Sub(begun).Milliseconds(), res.reason)
 	if step == sqattempt.Resend && x.ctx.Err() == nil {
 		x.g.meter.resent.Inc()
@@ -191,16 +225,16 @@
 
 // exchange sends the request to an endpoint and relays its answer; false means
 // that the caller got nothing of it yet, or that the stream has to go on.
-func (x *request) exchange(choice sqplace.Choice, ticket *sqplace.Ticket, source string) (result, bool) {
-	x.last = choice.Endpoint.ID()
-	call := x.call(choice.Endpoint, sqattempt.Send{CacheSource: source, ResumeAfter: x.resumeAfter()})
+func (x *request) exchange(e *sqplace.Endpoint, ticket *sqplace.Ticket, source string) (result, bool) {
+	x.last = e.ID()
+	call := x.call(e, sqattempt.Send{CacheSource: source, ResumeAfter: x.resumeAfter()})
 	reply, err := x.g.pool.Do(x.ctx, call)
 	if err != nil {
 		return x.broken(err), false
 	}
 	defer reply.Close()
 	head := x.g.cfg.Wire.Answer(reply.Status(), reply.Header())
-	x.hear(choice.Endpoint, head)
+	x.hear(e, head)
 	switch {
 	case head.NotRun:
 		return result{outcome: sqattempt.Declined, reason: "the endpoint declined with " + http.StatusText(reply.Status()), reached: true}, false
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -124,9 +124,7 @@
 	e := choice.Prefill
 	x.lastPrefill = e.ID()
 	now := sqclock.Now()
-	x.g.mu.Lock()
-	ticket := x.g.placer.Begin(now, e, x.query(now), choice.PrefillUnread, choice.PrefillExpected)
-	x.g.mu.Unlock()
+	ticket := x.begin(now, e, choice.PrefillUnread, choice.PrefillExpected)
 	handle, reached, err := x.readAhead(e)
 	if err != nil {
 		x.end(ticket, false, reached)
--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -16,7 +16,7 @@
 	// an answer; beatTimeout bounds one.
 	beatEvery   = 200 * time.Millisecond
 	retryEvery  = 50 * time.Millisecond
-	beatTimeout = 600 * time.Millisecond
+	beatTimeout = 400 * time.Millisecond
 	// maxUnsent bounds the reads that wait for a holder.
 	maxUnsent = 1024
 )
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -17,11 +17,12 @@
 	EndpointsOrdered   = Event{5012, Info, "endpoints ordered", []string{"service", "zone", "spot", "count", "had", "reason"}}
 	EndpointsRefused   = Event{5013, Warn, "order of endpoints not accepted", []string{"service", "zone", "spot", "count", "error"}}
 	StageOrdered       = Event{5014, Info, "stage of an engine ordered", []string{"endpoint", "stage", "reason"}}
+	DiskRetried        = Event{5016, Error, "the disk failed and will be opened again", []string{"error", "pauseMillis"}}
 	StageRefused       = Event{5015, Warn, "order of a stage not accepted", []string{"endpoint", "stage", "error"}}
 )
 
 var coordinatorEvents = []Event{
 	FoundingFailed, MemberChanged, MemberChangeFailed, TableCommitted, TableRefused, TableNotCommitted,
 	GatewayFound, GatewayLeaves, GatewayLost, ListChanged, ListUnread, ListReadAgain, EndpointsOrdered, EndpointsRefused,
-	StageOrdered, StageRefused,
+	StageOrdered, StageRefused, DiskRetried,
 }
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -45,6 +45,21 @@
 	return c
 }
 
+// ChooseDecode returns the engine that makes the tokens of a request whose prompt
+// another engine has read.
+func (p *Placer) ChooseDecode(now time.Time, q *Query) Choice {
+	s := p.services[q.Service]
+	if s == nil {
+		return Choice{Reason: "no endpoint is listed for the service"}
+	}
+	r := newRequest(q, s)
+	c := p.leastWait(now, s, r, withoutStage(p.open(now, s, r), Prefill)).choice
+	if c.Endpoint == nil {
+		c.Reason = "no engine can make the tokens"
+	}
+	return c
+}
+
 // open returns the endpoints that may get the request: if all of them are
 // suspect, those too.
 func (p *Placer) open(now time.Time, s *pool, r *request) []*node {
@@ -81,7 +96,7 @@
 		cost := p.jitter(expected+p.penalty(n)) + s.harm(n, unread)
 		if best.choice.Endpoint == nil || cost < best.cost {
 			best = option{cost: cost, choice: Choice{
-				Endpoint: &n.endpoint, Expected: expected, Unread: unread, Reason: "shortest expected time",
+				Endpoint: n.listed(), Expected: expected, Unread: unread, Reason: "shortest expected time",
 			}}
 		}
 	}
@@ -122,7 +137,7 @@
 	if best.choice.Endpoint == nil {
 		return option{}, false
 	}
-	best.choice.Prefill, best.choice.PrefillUnread = &reader.endpoint, unread
+	best.choice.Prefill, best.choice.PrefillUnread = reader.listed(), unread
 	best.choice.PrefillExpected = readExpected
 	best.choice.Expected += readExpected + s.transfer(&r.Prompt)
 	best.choice.Reason = "a prefill engine reads the prompt sooner"
@@ -138,7 +153,7 @@
 		expected := s.slotWait(now, n) + s.readWait(r, n)/4
 		cost := p.jitter(expected + p.penalty(n) + time.Duration(n.running(now))*time.Millisecond)
 		if best.choice.Endpoint == nil || cost < best.cost {
-			best = option{cost: cost, choice: Choice{Endpoint: &n.endpoint, Expected: expected}}
+			best = option{cost: cost, choice: Choice{Endpoint: n.listed(), Expected: expected}}
 		}
 	}
 	return best
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -45,6 +45,12 @@
 	return max(known, n.report.Running+n.report.Waiting+n.own.Running-n.ownAtReport)
 }
 
+// listed returns the endpoint as it is listed now; a new list does not change it.
+func (n *node) listed() *Endpoint {
+	e := n.endpoint
+	return &e
+}
+
 // slots returns how many requests the endpoint runs at once.
 func (n *node) slots() int { return max(1, n.endpoint.cfg.Slots) }
 
--- a/io/sqlocate/sqlocate.go
+++ b/io/sqlocate/sqlocate.go
@@ -4,8 +4,15 @@
 import (
 	"slices"
 	"sync"
+	"time"
+
+	"sequoiadock/io/sqclock"
 )
 
+// distrust is for how long an address that did not answer as the holder is not
+// gone back to because another process still names it.
+const distrust = 1500 * time.Millisecond
+
 // Locator keeps the addresses of the processes and the one that is believed to
 // hold the lease. It is safe for concurrent use.
 type Locator struct {
@@ -13,11 +20,13 @@
 	addresses []string
 	holder    string
 	next      int
+	// failedAt is when an address last did not answer as the holder.
+	failedAt map[string]time.Time
 }
 
 // New returns a locator that begins with the first address.
 func New(addresses []string) *Locator {
-	l := &Locator{addresses: slices.Clone(addresses)}
+	l := &Locator{addresses: slices.Clone(addresses), failedAt: map[string]time.Time{}}
 	if len(addresses) > 0 {
 		l.holder = addresses[0]
 	}
@@ -42,6 +51,11 @@
 func (l *Locator) Set(addresses []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for a := range l.failedAt {
+		if !slices.Contains(addresses, a) {
+			delete(l.failedAt, a)
+		}
+	}
 	l.addresses = slices.Clone(addresses)
 	if l.holder == "" && len(addresses) > 0 {
 		l.holder = addresses[0]
@@ -57,7 +71,10 @@
 		// Another caller has moved on already.
 		return
 	}
-	if named != "" && named != address {
+	now := sqclock.Now()
+	if named == "" || named == address {
+		l.failedAt[address] = now
+	} else if at, failed := l.failedAt[named]; !failed || now.Sub(at) >= distrust {
 		l.holder = named
 		return
 	}
