Short prompts may be read ahead; engines serve again as soon as they are back

Cause: in bursts of short prompts decode engines spent their steps reading (250 requests on 11 engines) while prefill engines were idle; engines whose stage had changed were left alone for 1.5 s more than needed; the first holder waited 3 s though no other can have acted before it. Ruled out: too few slots (a burst needs 34 of 176).

--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -192,7 +192,7 @@
 		}
 	})
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.found, c.announce, c.keepMembers, c.readList, c.reportUsage, c.orderEndpoints, c.reload} {
+	for _, loop := range []func(context.Context){c.found, c.announce, c.keepMembers, c.readList, c.reportUsage, c.orderEndpoints, c.logLoads, c.reload} {
 		loops.Go(func() { loop(ctx) })
 	}
 	c.log.Event(sqevent.Started, roleName, c.cfg.Name, c.cfg.Zone, internal.Addr().String())
--- a/app/sqcoordinator/duties.go
+++ b/app/sqcoordinator/duties.go
@@ -59,6 +59,7 @@
 		c.log.Event(sqevent.ListReadAgain, len(list))
 	}
 	t.silent, t.listedAt = false, now
+	t.orders.forgetListed(list)
 	if t.fleet != nil && slices.Equal(t.fleet, list) {
 		return
 	}
--- a/app/sqcoordinator/holder.go
+++ b/app/sqcoordinator/holder.go
@@ -117,10 +117,14 @@
 	return sqcore.Lease{Holder: c.cfg.Name, Term: t.term}
 }
 
+// firstTerm is the term of the first election after a group is founded.
+const firstTerm = 2
+
 // mayCall reports whether a duty towards the platform may be done: an earlier
-// holder that comes back must not act between two calls of this one.
+// holder that comes back must not act between two calls of this one. The first
+// holder of a new group has none before it.
 func (c *coordinator) mayCall(now time.Time, t *tenure) bool {
-	return now.Sub(t.since) >= c.cfg.DutyLease
+	return t.term <= firstTerm || now.Sub(t.since) >= c.cfg.DutyLease
 }
 
 // operatorsAt returns where the coordinator with the internal address answers
--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -21,9 +21,9 @@
 	// stageNotice is how long gateways have to stop sending to an engine before its
 	// stage is changed.
 	stageNotice = 600 * time.Millisecond
-	// stageSettled is added to the time of a change until the platform's list must
-	// show it.
-	stageSettled = 1500 * time.Millisecond
+	// stagePoll and stagePolls bound the looking whether a change is complete.
+	stagePoll  = 200 * time.Millisecond
+	stagePolls = 10
 )
 
 // orderBook is what the holder has ordered in its term. The coordinator's mu
@@ -31,15 +31,32 @@
 type orderBook struct {
 	planner *sqcapacity.Planner
 	demand  map[string]*sqcapacity.Demand
-	// away are the engines whose stage changes, until when gateways are told to
-	// send nothing there.
-	away map[string]time.Time
-	// version and table are the routing table that orders are planned by.
+	// away are the engines whose stage changes: gateways are told to send nothing
+	// there.
+	away map[string]bool
+	// changed are the stages that engines have and the platform's list may not show
+	// yet.
+	changed map[string]sqplace.Stage
+	// table is the routing table that orders are planned by.
 	table *sqtable.Table
 }
 
 func newOrderBook() orderBook {
-	return orderBook{planner: sqcapacity.New(), demand: map[string]*sqcapacity.Demand{}, away: map[string]time.Time{}}
+	return orderBook{planner: sqcapacity.New(), demand: map[string]*sqcapacity.Demand{}, away: map[string]bool{}, changed: map[string]sqplace.Stage{}}
+}
+
+// forgetListed forgets the changed stages of engines that the platform's list now
+// shows, or that are gone.
+func (b *orderBook) forgetListed(list []sqplace.Endpoint) {
+	stages := make(map[string]sqplace.Stage, len(list))
+	for i := range list {
+		stages[list[i].ID()] = list[i].Stage()
+	}
+	for id, stage := range b.changed {
+		if is, ok := stages[id]; !ok || is == stage {
+			delete(b.changed, id)
+		}
+	}
 }
 
 // addDemand adds what a gateway was asked for since its last beat.
@@ -83,7 +100,6 @@
 	if t.fleet == nil || !c.readTable(t) {
 		return nil, nil
 	}
-	t.endAbsences(now)
 	var orders []sqcapacity.Order
 	var changes []sqcapacity.Change
 	for _, s := range t.orders.table.Services() {
@@ -93,8 +109,7 @@
 		changes = append(changes, t.orders.planner.Stages(now, v)...)
 	}
 	for _, change := range changes {
-		settled := stageNotice + stageSettled + t.orders.table.Service(change.Endpoint.Service()).Engine().SwitchTime
-		t.orders.away[change.Endpoint.ID()] = now.Add(settled)
+		t.orders.away[change.Endpoint.ID()] = true
 		t.revision++
 	}
 	return orders, changes
@@ -126,7 +141,7 @@
 	if d := t.orders.demand[s.Name()]; d != nil {
 		v.Demand = *d
 	}
-	for _, e := range t.fleet {
+	for _, e := range t.inForce() {
 		if e.Service() == s.Name() {
 			v.Endpoints = append(v.Endpoints, e)
 		}
@@ -151,34 +166,51 @@
 	c.log.Event(sqevent.EndpointsOrdered, o.Service, o.Zone, o.Spot, o.Count, o.Had, o.Reason)
 }
 
-// changeStage changes the stage of one engine once gateways send nothing there.
+// changeStage changes the stage of one engine once gateways send nothing there,
+// and tells them when it is back.
 func (c *coordinator) changeStage(ctx context.Context, t *tenure, change sqcapacity.Change) {
 	e := &change.Endpoint
-	if !sqclock.Sleep(ctx, stageNotice) {
-		return
+	err := c.orderStage(ctx, t, change)
+	if err != nil {
+		c.log.Event(sqevent.StageRefused, e.ID(), change.Stage.String(), err.Error())
+	} else {
+		c.log.Event(sqevent.StageOrdered, e.ID(), change.Stage.String(), change.Reason)
+		c.awaitStage(ctx, t, e)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(t.orders.away, e.ID())
+	if err == nil {
+		t.orders.changed[e.ID()] = change.Stage
 	}
+	t.revision++
+}
+
+// orderStage sends the order of a stage.
+func (c *coordinator) orderStage(ctx context.Context, t *tenure, change sqcapacity.Change) error {
+	e := &change.Endpoint
+	sqclock.Sleep(ctx, stageNotice)
 	accepted, busy, err := c.engines.Sequence(ctx, e)
-	if err == nil && !busy {
-		err = c.engines.SetStage(ctx, c.lease(t), e, change.Stage, accepted)
+	if err != nil {
+		return err
 	}
-	if err != nil || busy {
-		detail := "the engine carries out another order"
-		if err != nil {
-			detail = err.Error()
-		}
-		c.log.Event(sqevent.StageRefused, e.ID(), change.Stage.String(), detail)
-		return
+	if busy {
+		return sqerror.New(sqerror.Config{Kind: sqerror.Refused, Detail: "the engine carries out another order"})
 	}
-	c.log.Event(sqevent.StageOrdered, e.ID(), change.Stage.String(), change.Reason)
+	return c.engines.SetStage(ctx, c.lease(t), e, change.Stage, accepted)
 }
 
-// endAbsences ends the time in which gateways send nothing to engines whose stage
-// has changed. The coordinator's mu must be held.
-func (t *tenure) endAbsences(now time.Time) {
-	for id, until := range t.orders.away {
-		if !now.Before(until) {
-			delete(t.orders.away, id)
-			t.revision++
+// awaitStage returns when the engine has carried out its order, or after a bounded
+// time.
+func (c *coordinator) awaitStage(ctx context.Context, t *tenure, e *sqplace.Endpoint) {
+	c.mu.Lock()
+	away := t.orders.table.Service(e.Service()).Engine().SwitchTime
+	c.mu.Unlock()
+	sqclock.Sleep(ctx, away)
+	for range stagePolls {
+		_, busy, err := c.engines.Sequence(ctx, e)
+		if err == nil && !busy || !sqclock.Sleep(ctx, stagePoll) {
+			return
 		}
 	}
 }
@@ -188,7 +220,10 @@
 func (t *tenure) inForce() []sqplace.Endpoint {
 	list := make([]sqplace.Endpoint, 0, len(t.fleet))
 	for _, e := range t.fleet {
-		if _, away := t.orders.away[e.ID()]; away {
+		if stage, ok := t.orders.changed[e.ID()]; ok {
+			e = e.WithStage(stage)
+		}
+		if t.orders.away[e.ID()] {
 			e = e.Leaving()
 		}
 		list = append(list, e)
--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -22,6 +22,9 @@
 	// leastPercent of what is wanted must run; what is not to be had cheaply is
 	// then ordered dear.
 	leastPercent = 50
+	// settled is how long the first fleet must not have grown: the platform's list
+	// fills up by and by.
+	settled = 1200 * time.Millisecond
 	// retryRefused is how long a zone without endpoints of a kind is left alone,
 	// repeatAfter how long an order is waited for before it is sent again.
 	retryRefused = 3 * time.Second
@@ -36,7 +39,10 @@
 		return nil
 	}
 	s := p.service(v.Name)
-	s.noteWanted(v)
+	s.noteWanted(now, v)
+	if s.first == 0 || now.Sub(s.grownAt) < settled {
+		return nil
+	}
 	zones := zonesOf(v)
 	perZone := min((s.wanted+len(zones)-1)/len(zones), v.Scaling.Max)
 	extra := s.shortage(v, len(zones))
@@ -54,12 +60,13 @@
 // noteWanted sets how many endpoints are wanted: as many as the busiest second
 // needed, and never fewer than before, since each new one begins with an empty
 // cache.
-func (s *service) noteWanted(v *Service) {
-	if s.first == 0 {
-		s.first = len(v.Endpoints)
+func (s *service) noteWanted(now time.Time, v *Service) {
+	most, seen := s.rates.peak()
+	if !seen && len(v.Endpoints) > s.first {
+		s.first, s.grownAt = len(v.Endpoints), now
 		s.wanted = s.first * firstPercent / 100
 	}
-	if most, seen := s.rates.peak(); seen {
+	if seen {
 		need := readers(most) + decoders(most, v.Engine.Slots)
 		s.wanted = max(s.wanted, min(need, s.first*mostPercent/100))
 	}
--- a/core/sqcapacity/sqcapacity.go
+++ b/core/sqcapacity/sqcapacity.go
@@ -60,6 +60,7 @@
 	// first is how many endpoints there were at first, wanted how many there shall
 	// be.
 	first, wanted int
+	grownAt       time.Time
 	// ordered is what was ordered last, by zone and kind.
 	ordered map[kind]ordered
 	// switched is when an engine's stage was last ordered.
--- a/core/sqcapacity/stages.go
+++ b/core/sqcapacity/stages.go
@@ -11,10 +11,10 @@
 const (
 	// firstReadPercent of the engines read prompts ahead before any demand was
 	// seen.
-	firstReadPercent = 60
+	firstReadPercent = 55
 	// leastReadPercent and mostReadPercent bound the part that reads ahead.
-	leastReadPercent = 25
-	mostReadPercent  = 75
+	leastReadPercent = 40
+	mostReadPercent  = 60
 	// slack is by how many engines the split may be off before it is changed.
 	slack = 2
 	// atOncePercent of the engines may change at the same time under load.
@@ -29,6 +29,9 @@
 		return nil
 	}
 	s := p.service(v.Name)
+	if s.first == 0 || now.Sub(s.grownAt) < settled {
+		return nil
+	}
 	var readersNow, decodersNow []sqplace.Endpoint
 	changing := 0
 	for _, e := range v.Endpoints {
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -7,9 +7,9 @@
 
 const (
 	// stagedMinTokens is the least unread length that is worth a KV transfer.
-	stagedMinTokens = 256
+	stagedMinTokens = 64
 	// stagedCost stands for the price of a KV transfer.
-	stagedCost = 40 * time.Millisecond
+	stagedCost = 15 * time.Millisecond
 	// servablePercent is the part of the time left in which the first token must
 	// be expected, or the request is refused at once.
 	servablePercent = 85
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -80,6 +80,12 @@
 	return e
 }
 
+// WithStage returns the endpoint as one that has the stage.
+func (e Endpoint) WithStage(s Stage) Endpoint {
+	e.cfg.Stage = s
+	return e
+}
+
 // Stage returns the work that it takes.
 func (e *Endpoint) Stage() Stage { return e.cfg.Stage }
 
