--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -19,6 +19,9 @@
 	// mostPercent at most.
 	firstPercent = 133
 	mostPercent  = 180
+	// dearPercent of the first fleet stays as it is: two zones may be reclaimed at
+	// the same time.
+	dearPercent = 67
 	// leastPercent of what is wanted must run; what is not to be had cheaply is
 	// then ordered dear.
 	leastPercent = 50
@@ -48,7 +51,7 @@
 	extra := s.shortage(v, len(zones))
 	var orders []Order
 	for _, zone := range zones {
-		for _, o := range s.zoneOrders(v, zone, perZone, extra) {
+		for _, o := range s.zoneOrders(v, zone, perZone, s.leastDear(v, len(zones)), extra) {
 			if s.due(now, o) {
 				orders = append(orders, o)
 			}
@@ -62,7 +65,7 @@
 // cache.
 func (s *service) noteWanted(now time.Time, v *Service) {
 	most, seen := s.rates.peak()
-	if !seen && len(v.Endpoints) > s.first {
+	if !seen && len(s.ordered) == 0 && len(v.Endpoints) > s.first {
 		s.first, s.grownAt = len(v.Endpoints), now
 		s.wanted = s.first * firstPercent / 100
 	}
@@ -94,10 +97,14 @@
 	return int(math.Ceil(r.decoding / float64(max(1, slots)) * 100 / decoderUsePercent))
 }
 
+// leastDear returns how many endpoints of each zone are not to be reclaimed.
+func (s *service) leastDear(v *Service, zones int) int {
+	return max(v.Scaling.Min, s.first*dearPercent/100/zones)
+}
+
 // zoneOrders returns the orders of one zone.
-func (s *service) zoneOrders(v *Service, zone string, wanted, extra int) []Order {
+func (s *service) zoneOrders(v *Service, zone string, wanted, least, extra int) []Order {
 	have := count(v.Endpoints, zone)
-	least := 4
 	if p := v.Scaling.SpotPrice; p <= 0 || p >= 1 {
 		return []Order{{Service: v.Name, Zone: zone, Count: max(least, wanted), Had: have.dear, Reason: "the busiest second"}}
 	}
--- /dev/null
+++ b/core/sqstate/table_test.go
@@ -0,0 +1,70 @@
+package sqstate
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiadock/core/sqcommand"
+)
+
+func declare(version uint64, document string) *sqcommand.Command {
+	return &sqcommand.Command{Body: &sqcommand.Command_Declare{
+		Declare: &sqcommand.Declare{Version: version, Document: []byte(document)},
+	}}
+}
+
+func freezeCounts(window, requests uint64) *sqcommand.Command {
+	return &sqcommand.Command{Body: &sqcommand.Command_FreezeCounts{FreezeCounts: &sqcommand.FreezeCounts{
+		Window: window, Counts: []*sqcommand.TeamCount{{Team: "a", Requests: requests}},
+	}}}
+}
+
+// TestDeclare wants the highest version in force, whatever comes after it.
+func TestDeclare(t *testing.T) {
+	s := New(Config{})
+	for _, c := range []struct {
+		version uint64
+		text    string
+	}{{4, "four"}, {9, "nine"}, {7, "seven"}, {9, "other nine"}} {
+		res := s.Apply(declare(c.version, c.text))
+		assert.Equal(t, res.GetError(), uint32(0))
+	}
+	version, document := s.Table()
+	assert.Equal(t, version, uint64(9))
+	assert.Equal(t, string(document), "nine")
+}
+
+// TestCountsNeverChange wants the first figures of a window, however often and by
+// whomever it is frozen, also after a restart from a snapshot.
+func TestCountsNeverChange(t *testing.T) {
+	s := New(Config{})
+	s.Apply(declare(2, "two"))
+	s.Apply(freezeCounts(11, 5))
+	res := s.Apply(freezeCounts(11, 8))
+	assert.Equal(t, res.GetCounts().GetCounts()[0].GetRequests(), uint64(5))
+	s.Apply(freezeCounts(12, 1))
+	s.Apply(&sqcommand.Command{Body: &sqcommand.Command_MarkCounts{MarkCounts: &sqcommand.MarkCounts{Window: 11}}})
+
+	other := New(Config{})
+	other.Restore(s.Snapshot())
+	assert.Equal(t, other.LastCountWindow(), uint64(12))
+	windows := other.CountWindows()
+	assert.Equal(t, len(windows), 2)
+	assert.Assert(t, windows[0].GetReported() && !windows[1].GetReported())
+	version, document := other.Table()
+	assert.Equal(t, version, uint64(2))
+	assert.Equal(t, string(document), "two")
+}
+
+// TestUnreportedKept wants no window forgotten before it was reported.
+func TestUnreportedKept(t *testing.T) {
+	s := New(Config{})
+	for w := range uint64(3 * maxCountWindows) {
+		s.Apply(freezeCounts(w+1, 1))
+	}
+	assert.Equal(t, len(s.CountWindows()), 3*maxCountWindows)
+	s.Apply(&sqcommand.Command{Body: &sqcommand.Command_MarkCounts{MarkCounts: &sqcommand.MarkCounts{Window: 1}}})
+	s.Apply(freezeCounts(3*maxCountWindows+1, 1))
+	assert.Equal(t, s.CountWindows()[0].GetWindow(), uint64(2))
+}
--- /dev/null
+++ b/core/sqtable/sqtable_test.go
@@ -0,0 +1,101 @@
+package sqtable
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiadock/core/sqerror"
+)
+
+func good() Config {
+	return Config{
+		Version: 3, Keyed: true,
+		Services: []ServiceConfig{{Name: "engines", Engine: &Engine{Slots: 16}}, {Name: "ledger", MaxConnections: 100}},
+		Teams:    []TeamConfig{{Name: "a", Keys: []string{"k1", "k2"}}, {Name: "b", Keys: []string{"k3"}, Priority: 4, HasPriority: true}},
+		Routes: []RouteConfig{
+			{Name: "all", Host: "Host.example", Prefix: "/", Kind: Idempotent, Timeout: time.Second, Split: []Share{{"ledger", 1}}, Priority: 2},
+			{Name: "ask", Host: "host.example", Prefix: "/ask/", Kind: Stream, Timeout: time.Second, Split: []Share{{"engines", 1}}, Priority: 1},
+			{Name: "deep", Host: "host.example", Prefix: "/ask/deep/", Kind: Once, Timeout: time.Second, Split: []Share{{"engines", 3}, {"ledger", 1}}},
+		},
+	}
+}
+
+// TestMatch wants the longest prefix among the routes of the host.
+func TestMatch(t *testing.T) {
+	table, err := New(good())
+	assert.NilError(t, err)
+	for _, c := range []struct{ host, path, want string }{
+		{"host.example", "/ask/x", "ask"},
+		{"HOST.example:8080", "/ask/deep/x", "deep"},
+		{"host.example", "/ask", "all"},
+		{"host.example", "/other", "all"},
+		{"else.example", "/ask/x", ""},
+	} {
+		name := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			name = r.Name()
+		}
+		assert.Equal(t, name, c.want, "%s %s", c.host, c.path)
+	}
+}
+
+func TestTeams(t *testing.T) {
+	table, err := New(good())
+	assert.NilError(t, err)
+	assert.Equal(t, table.Team("k2").Name(), "a")
+	assert.Assert(t, table.Team("k9") == nil)
+	r := table.Match("host.example", "/ask/x")
+	assert.Equal(t, r.Priority(table.Team("k1")), 1)
+	assert.Equal(t, r.Priority(table.Team("k3")), 4)
+	assert.Assert(t, !table.MostUrgent(r, "engines"))
+	assert.Assert(t, table.MostUrgent(table.Match("host.example", "/ask/deep/"), "engines"))
+}
+
+// TestPick wants each service to get its part of the draws.
+func TestPick(t *testing.T) {
+	table, err := New(good())
+	assert.NilError(t, err)
+	r := table.Match("host.example", "/ask/deep/")
+	got := map[string]int{}
+	for i := range 1000 {
+		got[r.Pick(float64(i)/1000)]++
+	}
+	assert.DeepEqual(t, got, map[string]int{"engines": 750, "ledger": 250})
+}
+
+// TestFaults wants every invalid declaration refused as a bad request.
+func TestFaults(t *testing.T) {
+	for name, spoil := range map[string]func(*Config){
+		"no version":         func(c *Config) { c.Version = 0 },
+		"unknown service":    func(c *Config) { c.Routes[0].Split[0].Service = "gone" },
+		"same place":         func(c *Config) { c.Routes[1].Prefix = "/" },
+		"no weight":          func(c *Config) { c.Routes[2].Split[0].Weight, c.Routes[2].Split[1].Weight = 0, 0 },
+		"negative weight":    func(c *Config) { c.Routes[2].Split[0].Weight = -1 },
+		"no timeout":         func(c *Config) { c.Routes[0].Timeout = 0 },
+		"no kind":            func(c *Config) { c.Routes[0].Kind = 0 },
+		"prefix without end": func(c *Config) { c.Routes[1].Prefix = "/ask" },
+		"shared key":         func(c *Config) { c.Teams[1].Keys[0] = "k1" },
+		"service twice":      func(c *Config) { c.Services[1].Name = "engines" },
+		"team without name":  func(c *Config) { c.Teams[0].Name = "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := good()
+			spoil(&c)
+			_, err := New(c)
+			assert.Equal(t, sqerror.KindOf(err), sqerror.BadRequest)
+		})
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	for _, c := range []struct {
+		kind      Kind
+		resumable bool
+		want      bool
+	}{{Idempotent, false, true}, {Once, true, false}, {Stream, false, false}, {Stream, true, true}} {
+		r := Route{cfg: RouteConfig{Kind: c.kind, Resumable: c.resumable}}
+		assert.Equal(t, r.Repeatable(), c.want, "%v", c)
+	}
+}
--- a/io/sqlink/conn.go
+++ b/io/sqlink/conn.go
@@ -119,7 +119,7 @@
 func (c *conn) readReply(call *Call, written chan error) (*Reply, error) {
 	req := &http.Request{Method: call.Method}
 	for range maxForeign + 1 {
-		res, err := c.readHead(req)
+		res, err := c.readHead(req) //nolint:bodyclose // the reply owns the body
 		if err != nil {
 			return nil, err
 		}
