--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -174,7 +174,10 @@
 	now := sqclock.Now()
 	if res.outcome == sqattempt.Broken || res.outcome == sqattempt.Failed {
 		x.mayHaveRun = true
-		x.countRun()
+		if x.ctx.Err() == nil {
+			// A request that was taken back had most likely not begun to run.
+			x.countRun()
+		}
 	}
 	if res.outcome != sqattempt.Unsent {
 		x.sends++
--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -17,7 +17,7 @@
 	decoderUsePercent = 50
 	// firstPercent of the first fleet is wanted before any demand was seen, and
 	// mostPercent at most.
-	firstPercent = 133
+	firstPercent = 150
 	mostPercent  = 180
 	// dearPercent of the first fleet stays as it is: two zones may be reclaimed at
 	// the same time.
--- a/core/sqplace/load_test.go
+++ b/core/sqplace/load_test.go
@@ -20,9 +20,9 @@
 	loadSeconds   = 60
 	// loadWarm is after how many seconds answers count: before, most parts are read
 	// for the first time, which no placing can spare.
-	loadWarm = 20
-	loadShared    = 13_000
-	loadOwn       = 3700
+	loadWarm   = 20
+	loadShared = 13_000
+	loadOwn    = 3700
 	// tellEvery is how late gateways hear of each other's requests.
 	tellEvery = 300 * time.Millisecond
 	// onTime is within which a first token shall come, for onTimePercent of the
