--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -151,7 +151,7 @@
 		return true
 	}
 	x.end(ticket, false, res.reached)
-	if source != "" && res.outcome != sqattempt.Failed {
+	if source != "" && (res.outcome == sqattempt.Declined || res.outcome == sqattempt.Unsent) {
 		x.release(choice.Prefill, source)
 	}
 	return x.after(begun, e, res)
--- a/core/house_test.go
+++ b/core/house_test.go
@@ -59,7 +59,7 @@
 
 func TestFilesAreSmall(t *testing.T) {
 	var faults []string
-	for _, s := range sources(t, "core", "io", "app", "standin", "proof") {
+	for _, s := range sources(t, "core", "io", "platform", "app", "standin", "proof") {
 		if n := bytes.Count(s.data, []byte{'\n'}); n > maxLines {
 			faults = append(faults, s.path+" has "+strconv.Itoa(n)+" lines; split it")
 		}
@@ -69,7 +69,7 @@
 
 func TestNoGenericsOfOurOwn(t *testing.T) {
 	var faults []string
-	for _, s := range sources(t, "core", "io", "app", "standin", "proof") {
+	for _, s := range sources(t, "core", "io", "platform", "app", "standin", "proof") {
 		ast.Inspect(s.file, func(n ast.Node) bool {
 			switch n := n.(type) {
 			case *ast.FuncType:
@@ -151,3 +151,63 @@
 	}
 	assert.DeepEqual(t, page, code)
 }
+
+// platformName is a header, a variable or a field that only the users' platform
+// calls so.
+var platformName = regexp.MustCompile(`Sequoiadock-(Not-Executed|Expect-|Server-Signature|Kv-|Pin-Ms|Prefix-Hash|Token-Count|Serving-Stage|Lease-Holder|Fencing-Token|` +
+	`Instance-|Tenant-Id|Length-Hint|Weight-Versions|Request-Priority)|Kv-Fetch|SEQUOIADOCK_BOOT|/sequoiadock/(config|resolve|kv-)|` +
+	`\b(trafficSplit|gapTargetMs|targetLatencyMs|pathPrefix|coldRemainingMs|desiredCount|windowNumber|apiKeys|kvCapacityTokens)\b`)
+
+// TestPlatformNamesStayInside wants the platform's names in the adapter alone.
+func TestPlatformNamesStayInside(t *testing.T) {
+	var faults []string
+	for _, s := range sources(t, "core", "io", "app", "standin", "proof") {
+		if s.path == "../core/house_test.go" {
+			continue
+		}
+		if name := platformName.Find(s.data); name != nil {
+			faults = append(faults, s.path+" uses "+string(name)+", a name of the platform")
+		}
+	}
+	report(t, faults)
+}
+
+// maxAdapterLines bounds the adapter without its tests.
+const maxAdapterLines = 1000
+
+// TestAdapterTranslatesOnly wants the adapter small, without goroutines, locks,
+// clocks and files, and importing nothing of the product but core.
+func TestAdapterTranslatesOnly(t *testing.T) {
+	var faults []string
+	lines := 0
+	for _, s := range sources(t, "platform") {
+		if isTest(s.path) {
+			continue
+		}
+		lines += bytes.Count(s.data, []byte{'\n'})
+		for _, i := range s.file.Imports {
+			name, err := strconv.Unquote(i.Path.Value)
+			assert.NilError(t, err)
+			other := strings.HasPrefix(name, "sequoiadock/") && !strings.HasPrefix(name, "sequoiadock/core")
+			if other || slices.Contains([]string{"sync", "sync/atomic", "os", "math/rand"}, name) {
+				faults = append(faults, s.path+" imports "+name)
+			}
+		}
+		ast.Inspect(s.file, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.GoStmt:
+				faults = append(faults, s.path+" starts a goroutine")
+			case *ast.SelectorExpr:
+				x, ok := n.X.(*ast.Ident)
+				if ok && x.Name == "time" && slices.Contains(clockCalls, n.Sel.Name) {
+					faults = append(faults, s.path+" calls time."+n.Sel.Name)
+				}
+			}
+			return true
+		})
+	}
+	if lines > maxAdapterLines {
+		faults = append(faults, "the adapter has "+strconv.Itoa(lines)+" lines; what it decides belongs into the product")
+	}
+	report(t, faults)
+}
--- a/io/sqsettings/page_test.go
+++ b/io/sqsettings/page_test.go
@@ -27,4 +27,6 @@
 	}
 	check(reflect.TypeFor[controlFile]())
 	check(reflect.TypeFor[entryFile]())
+	check(reflect.TypeFor[coordinatorFile]())
+	check(reflect.TypeFor[gatewayFile]())
 }
--- a/io/sqsettings/sqsettings_test.go
+++ b/io/sqsettings/sqsettings_test.go
@@ -34,15 +34,44 @@
 	assert.Equal(t, s.Admission(), "fifo")
 }
 
+func TestCoordinator(t *testing.T) {
+	s, faults := ReadCoordinator(filepath.Join("testdata", "coordinatorGood.toml"))
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	assert.DeepEqual(t, s.Cluster().Seeds(), []string{"10.1.0.10:7660", "10.2.0.45:7660"})
+	assert.Equal(t, s.Cluster().Voters(), 5)
+	assert.Equal(t, s.Node().Internal(), "10.1.0.10:7660")
+	assert.Equal(t, s.Operators(), "10.1.0.10:8407")
+	assert.Assert(t, s.FirstStart())
+	assert.Equal(t, s.Bounds().Window(), 5*time.Second)
+	assert.Equal(t, s.Bounds().Lease(), 3*time.Second)
+}
+
+func TestGateway(t *testing.T) {
+	s, faults := ReadGateway(filepath.Join("testdata", "gatewayGood.toml"))
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	assert.Equal(t, s.Callers(), "10.1.0.7:8405")
+	assert.Equal(t, s.Ready(), "10.1.0.7:8406")
+	assert.Equal(t, s.Directory(), "10.1.0.7:8404")
+	assert.Equal(t, s.Bounds().RetryRatio(), 0.2)
+	assert.Equal(t, s.Bounds().RetryExtra(), 56.0)
+	assert.Equal(t, s.Bounds().Grace(), 7500*time.Millisecond)
+	assert.Equal(t, s.Bounds().Revoke(), defaultRevoke)
+}
+
 // TestFaults wants every fault of a file in one go, with its place and advice.
 func TestFaults(t *testing.T) {
-	for _, name := range []string{"controlBad", "entryBad", "syntaxBad", "missing"} {
+	for _, name := range []string{"controlBad", "entryBad", "coordinatorBad", "gatewayBad", "syntaxBad", "missing"} {
 		t.Run(name, func(t *testing.T) {
 			path := filepath.ToSlash(filepath.Join("testdata", name+".toml"))
 			var faults []*sqerror.Error
-			if strings.HasPrefix(name, "control") {
+			switch {
+			case strings.HasPrefix(name, "control"):
 				_, faults = ReadControl(path)
-			} else {
+			case strings.HasPrefix(name, "coordinator"):
+				_, faults = ReadCoordinator(path)
+			case strings.HasPrefix(name, "gateway"):
+				_, faults = ReadGateway(path)
+			default:
 				_, faults = ReadEntry(path)
 			}
 			var b strings.Builder
