--- a/app/sqcontrol/config.go
+++ b/app/sqcontrol/config.go
@@ -71,7 +71,7 @@
 	// periods.
 	newTenureTime = 3 * time.Second
 	// planWarmUp is how long a new holder gathers the demand before it plans roles.
-	planWarmUp = time.Second
+	planWarmUp = 500 * time.Millisecond
 	// stopTimeout bounds the end of running exchanges at a stop.
 	stopTimeout = 5 * time.Second
 )
--- a/io/sqreplica/config.go
+++ b/io/sqreplica/config.go
@@ -15,8 +15,8 @@
 // new leader gives orders within five seconds of its predecessor's end.
 const (
 	DefaultHeartbeat            = 150 * time.Millisecond
-	DefaultElectionTimeout      = 1000 * time.Millisecond
-	DefaultLease                = 900 * time.Millisecond
+	DefaultElectionTimeout      = 700 * time.Millisecond
+	DefaultLease                = 600 * time.Millisecond
 	DefaultMaxClockDriftPercent = 1.0
 	DefaultSnapshotEvery        = 4096
 )
