--- a/app/sqoperator/declare.go
+++ b/app/sqoperator/declare.go
@@ -28,7 +28,7 @@
 	args:    "FOLDER",
 	summary: "check declarations and process settings",
 	help: `Reads deployment.toml, teams.toml, models.toml, every service.toml and all
-process settings (control*.toml, entry*.toml) below FOLDER and prints every
+process settings (control*.toml, entry*.toml, coordinator*.toml, gateway*.toml) below FOLDER and prints every
 fault with its file, line, column and what to write instead. Asks no process
 and publishes nothing.`,
 	local: true,
--- a/app/sqoperator/help.go
+++ b/app/sqoperator/help.go
@@ -28,7 +28,7 @@
 }
 
 func unknownCommand(name string) error {
-	known := []string{"control", "entry", "help"}
+	known := []string{"control", "entry", "coordinator", "gateway", "help"}
 	for _, cmd := range commands() {
 		known = append(known, cmd.name)
 	}
@@ -42,7 +42,9 @@
 func printOverview(w io.Writer) {
 	fmt.Fprint(w, "sequoiadock serves assistants and plain services on a limited fleet.\n\nProcesses:\n")
 	fmt.Fprint(w, "  control    run a control process: replicated state, orders and reports\n")
-	fmt.Fprint(w, "  entry      run an entry process: callers connect to it\n\nOperators:\n")
+	fmt.Fprint(w, "  entry      run an entry process: callers connect to it\n")
+	fmt.Fprint(w, "  coordinator, gateway\n")
+	fmt.Fprint(w, "             the same on a platform whose requests are not read\n\nOperators:\n")
 	for _, cmd := range commands() {
 		fmt.Fprintf(w, "  %-10s %s\n", cmd.name, cmd.summary)
 	}
--- a/app/sqoperator/settings.go
+++ b/app/sqoperator/settings.go
@@ -39,6 +39,12 @@
 			if s != nil {
 				p.compare(f.path, s.Node().Deployment(), s.Node().Name(), s.Node().Zone(), s.Controls())
 			}
+		case strings.HasPrefix(name, "coordinator"):
+			_, all := sqsettings.ParseCoordinator(f.path, f.data)
+			p.faults = append(p.faults, all...)
+		case strings.HasPrefix(name, "gateway"):
+			_, all := sqsettings.ParseGateway(f.path, f.data)
+			p.faults = append(p.faults, all...)
 		}
 	}
 	return p.faults
--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -17,11 +17,11 @@
 	decoderUsePercent = 50
 	// firstPercent of the first fleet is wanted before any demand was seen, and
 	// mostPercent at most.
-	firstPercent = 150
+	firstPercent = 167
 	mostPercent  = 180
-	// dearPercent of the first fleet stays as it is: two zones may be reclaimed at
+	// dearPercent of the first fleet stays as it is: two zones may lose all others at
 	// the same time.
-	dearPercent = 67
+	dearPercent = 50
 	// leastPercent of what is wanted must run; what is not to be had cheaply is
 	// then ordered dear.
 	leastPercent = 50
--- a/io/sqsettings/sqsettings.go
+++ b/io/sqsettings/sqsettings.go
@@ -72,6 +72,11 @@
 	if fault != nil {
 		return nil, []*sqerror.Error{fault}
 	}
+	return ParseCoordinator(path, data)
+}
+
+// ParseCoordinator checks the content of the settings file of a coordinator.
+func ParseCoordinator(path string, data []byte) (*Coordinator, []*sqerror.Error) {
 	var f coordinatorFile
 	c := &checker{sqtoml.NewChecker(path, data, &f)}
 	settings := f.coordinator(c)
@@ -88,6 +93,11 @@
 	if fault != nil {
 		return nil, []*sqerror.Error{fault}
 	}
+	return ParseGateway(path, data)
+}
+
+// ParseGateway checks the content of the settings file of a gateway.
+func ParseGateway(path string, data []byte) (*Gateway, []*sqerror.Error) {
 	var f gatewayFile
 	c := &checker{sqtoml.NewChecker(path, data, &f)}
 	settings := f.gateway(c)
