--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
 unit:
-	go test $(SKIP) ./core/... ./io/... ./app/... ./standin/...
+	go test $(SKIP) ./core/... ./io/... ./platform/... ./app/... ./standin/...
 
 # The parts that share state between goroutines, under the race detector.
 race:
@@ -61,6 +61,7 @@
 	SOAK=1 go test -timeout 30m -run TestSoak ./core/sqraft
 	SEQUOIADOCK_CHANGES=2000 SEQUOIADOCK_CUT=30s go test -count=1 -timeout 20m -run 'Kills|CutOff' ./proof/authority
 	SEQUOIADOCK_TOGETHER=10m go test -count=1 -timeout 20m ./proof/together
+	for seed in 1 2 3 4 5; do SEQUOIADOCK_SOAK=60s SEQUOIADOCK_SOAK_SEED=$$seed go test -count=1 -run Soak ./platform || exit 1; done
 
 # Generators: protoc, protoc-gen-go v1.36.10, protoc-gen-twirp v8.1.3. Their
 # output is committed, so the build needs none of them.
--- a/app/sqcontrol/run.go
+++ b/app/sqcontrol/run.go
@@ -10,8 +10,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
-	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqmachine"
 	"sequoiadock/io/sqreplica"
 	"sequoiadock/io/sqrpc"
@@ -37,9 +37,9 @@
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := sqhttp.Listen(cfg.Listen)
 	if err != nil {
-		return sqerror.New(sqerror.Config{Kind: sqerror.Unreachable, Detail: "cannot listen on " + cfg.Listen, Cause: err})
+		return err
 	}
 	h := newHolder(cfg, r, m)
 	s := &server{cfg: cfg, replica: r, machine: m, holder: h, metrics: set}
@@ -79,7 +79,7 @@
 	cfg.Log.Event(sqevent.Stopping, roleName, cfg.Name, context.Cause(ctx).Error())
 	<-rounds
 	s.holder.handOver()
-	shutdown(srv)
+	sqhttp.Shutdown(srv, stopTimeout)
 	stopReplica()
 	wg.Wait()
 	cfg.Log.Event(sqevent.Stopped, roleName, cfg.Name)
@@ -89,15 +89,6 @@
 	return nil
 }
 
-// shutdown lets running calls end, for a bounded time.
-func shutdown(srv *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	if srv.Shutdown(ctx) != nil {
-		_ = srv.Close()
-	}
-}
-
 // routes returns everything that the process serves.
 func routes(s *server) http.Handler {
 	e := echo.New()
--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"sequoiadock/core/sqevent"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqguard"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqlocate"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqmachine"
@@ -124,7 +125,7 @@
 func run(ctx context.Context, cfg Config) error {
 	c := &coordinator{
 		cfg: cfg, machine: sqmachine.New(), locator: sqlocate.New(cfg.Seeds), log: cfg.Log,
-		client:  &http.Client{Timeout: callTimeout, Transport: newTransport()},
+		client:  sqhttp.Client(callTimeout),
 		metrics: metrics.NewSet(),
 	}
 	c.seeds.Store(&cfg.Seeds)
@@ -141,11 +142,11 @@
 	if err != nil {
 		return err
 	}
-	internal, err := listen(cfg.Internal)
+	internal, err := sqhttp.Listen(cfg.Internal)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(cfg.Operators)
+	operators, err := sqhttp.Listen(cfg.Operators)
 	if err != nil {
 		_ = internal.Close()
 		return err
@@ -153,19 +154,6 @@
 	return c.serve(ctx, internal, operators)
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: callTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, DisableCompression: true}
-}
-
-func listen(address string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, sqerror.New(sqerror.Config{Kind: sqerror.Unreachable, Detail: "cannot listen on " + address, Cause: err})
-	}
-	return ln, nil
-}
-
 // serve runs the listeners, the replica and the duties together; the first that
 // ends with an error ends the others.
 func (c *coordinator) serve(ctx context.Context, internal, operators net.Listener) error {
@@ -201,7 +189,7 @@
 	loops.Wait()
 	c.handOver()
 	for _, s := range servers {
-		shutdown(s)
+		sqhttp.Shutdown(s, stopTimeout)
 	}
 	stopReplica()
 	wg.Wait()
@@ -212,15 +200,6 @@
 	return nil
 }
 
-// shutdown lets running calls end, for a bounded time.
-func shutdown(srv *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	if srv.Shutdown(ctx) != nil {
-		_ = srv.Close()
-	}
-}
-
 // handOver lets another replica lead at once instead of after an election.
 func (c *coordinator) handOver() {
 	if _, _, held := c.replica.Authority(sqclock.Now()); !held {
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -18,12 +18,12 @@
 	"github.com/labstack/echo/v4"
 
 	sqcore "sequoiadock/core"
-	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/core/sqwindow"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqlink"
 	"sequoiadock/io/sqlocate"
 	"sequoiadock/io/sqlog"
@@ -121,7 +121,7 @@
 	g := &gateway{
 		cfg: cfg, run: hex.EncodeToString(seed[:]), log: cfg.Log, pool: sqlink.NewPool(),
 		locator: sqlocate.New(cfg.Seeds), wake: make(chan struct{}, 1),
-		client:  &http.Client{Timeout: beatTimeout, Transport: newTransport()},
+		client:  sqhttp.Client(beatTimeout),
 		placer:  sqplace.New(sqplace.Config{Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:])}),
 		retry:   sqretry.New(sqclock.Now(), cfg.Retry),
 		counter: sqwindow.NewCounter(cfg.Window),
@@ -132,17 +132,12 @@
 	return g
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: beatTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, DisableCompression: true}
-}
-
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	var all []net.Listener
 	for _, a := range addresses {
-		ln, err := net.Listen("tcp", a)
+		ln, err := sqhttp.Listen(a)
 		if err != nil {
-			return nil, sqerror.New(sqerror.Config{Kind: sqerror.Unreachable, Detail: "cannot listen on " + a, Cause: err})
+			return nil, err
 		}
 		all = append(all, ln)
 	}
