The time to come back follows how long the holder has been silent

Ruled out: a longer fixed time, which one gateway that is cut off alone would name to callers that another one could serve at once.

--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -127,7 +127,7 @@
 		counter: sqwindow.NewCounter(cfg.Window),
 		demand:  map[string]*demand{},
 	}
-	g.view.Store(&view{})
+	g.view.Store(&view{heardAt: sqclock.Now()})
 	g.meter = newMeter(g)
 	return g
 }
--- a/app/sqgateway/gateway_test.go
+++ b/app/sqgateway/gateway_test.go
@@ -160,6 +160,15 @@
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 }
 
+// TestStaleRetry wants the time to come back to follow the length of the silence.
+func TestStaleRetry(t *testing.T) {
+	now := time.Unix(100, 0)
+	v := view{heardAt: now}
+	assert.Equal(t, v.retryAfter(now), refusedRetry)
+	assert.Equal(t, v.retryAfter(now.Add(time.Second)), time.Second)
+	assert.Equal(t, v.retryAfter(now.Add(time.Minute)), longestStaleRetry)
+}
+
 // TestNeverBack wants a table that is older than the one in force not acted on.
 func TestNeverBack(t *testing.T) {
 	s := newSystem(t)
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -18,6 +18,9 @@
 	// refusedRetry is when a caller may come back that was refused because the
 	// gateway itself cannot serve anybody.
 	refusedRetry = 300 * time.Millisecond
+	// longestStaleRetry is the longest time to come back that a gateway names which
+	// does not hear the holder.
+	longestStaleRetry = 2 * time.Second
 	// defaultBodyBytes bounds bodies if the table does not.
 	defaultBodyBytes = 4 << 20
 	// bodyTimeout bounds the sending of a body if the caller names no deadline.
@@ -76,7 +79,7 @@
 func (x *request) admit() bool {
 	v := x.g.view.Load()
 	if !v.fresh(x.begun) {
-		x.refuse(http.StatusServiceUnavailable, "the gateway has not heard the holder", refusedRetry)
+		x.refuse(http.StatusServiceUnavailable, "the gateway has not heard the holder", v.retryAfter(x.begun))
 		return false
 	}
 	x.table = v.table
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -18,8 +18,8 @@
 	x.g.mu.Unlock()
 	for {
 		now := sqclock.Now()
-		if !x.g.view.Load().fresh(now) {
-			x.finish(x.stepWithout(now), "the gateway has not heard the holder", refusedRetry)
+		if v := x.g.view.Load(); !v.fresh(now) {
+			x.finish(x.stepWithout(now), "the gateway has not heard the holder", v.retryAfter(now))
 			return
 		}
 		choice := x.choose(now)
--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -26,7 +26,9 @@
 	table *sqtable.Table
 	// freshUntil is the end of the freshness lease on sqclock's clock.
 	freshUntil time.Time
-	revision   uint64
+	// heardAt is when the holder last answered, or when the process started.
+	heardAt  time.Time
+	revision uint64
 	// listed has the identities of all endpoints.
 	listed   map[string]bool
 	gateways []*sqrpc.GatewayAddress
@@ -40,6 +42,12 @@
 // fresh reports whether the gateway may act on the view.
 func (v *view) fresh(now time.Time) bool { return v.table != nil && now.Before(v.freshUntil) }
 
+// retryAfter returns when a caller may come back that was refused for want of a
+// holder: a silence that has lasted for some time probably lasts as long again.
+func (v *view) retryAfter(now time.Time) time.Duration {
+	return min(max(now.Sub(v.heardAt), refusedRetry), longestStaleRetry)
+}
+
 // date returns the true time.
 func (v *view) date(now time.Time) time.Time { return now.Add(v.offset) }
 
@@ -154,6 +162,7 @@
 	}
 	g.acceptFleet(&v, res)
 	v.freshUntil = sent.Add(time.Duration(res.GetFreshMillis()) * time.Millisecond)
+	v.heardAt = received
 	v.gateways = res.GetGateways()
 	v.offset = time.Duration(res.GetTrueUnixNano() - sent.Add(received.Sub(sent)/2).UnixNano())
 	if n := int(res.GetGatewayCount()); n > 0 {
