--- a/app/sqcoordinator/group.go
+++ b/app/sqcoordinator/group.go
@@ -96,7 +96,7 @@
 		address := c.locator.Holder()
 		res, err := c.coordinatorAt(address).Announce(ctx, req)
 		if err != nil {
-			sqrpc.MoveOn(c.locator, address, sqrpc.FromTwirp(err))
+			sqrpc.MoveOn(sqclock.Now(), c.locator, address, sqrpc.FromTwirp(err))
 			return
 		}
 		c.locator.Set(union(res.GetControls(), *c.seeds.Load()))
--- a/app/sqgateway/answer.go
+++ b/app/sqgateway/answer.go
@@ -15,6 +15,10 @@
 	"Content-Length",
 }
 
+// writeMargin is for how long after the deadline a caller may still take what was
+// written.
+const writeMargin = 1 * time.Second
+
 // refuse answers a request that has not run and never will. RetryAfter is when
 // the caller may come back, 0 for never.
 func (x *request) refuse(status int, reason string, retryAfter time.Duration) {
@@ -80,12 +84,25 @@
 			h[name] = nil
 		}
 	}
+	x.boundWrites(sqclock.Now())
 	if length >= 0 && bodyAllowed(status) {
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
 	x.w.WriteHeader(status)
 }
 
+// boundWrites ends an answer whose caller does not take it in time. The server
+// begins each request without a deadline.
+func (x *request) boundWrites(now time.Time) {
+	// Without a deadline the write is bounded by the caller's connection alone.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(x.left(now) + writeMargin))
+}
+
+// unboundWrites lets the next request on the connection begin without a deadline.
+func (x *request) unboundWrites() {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
+}
+
 func bodyAllowed(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -139,6 +139,7 @@
 		x.fail(a.status, "the caller's connection broke off")
 		return
 	}
+	x.unboundWrites()
 	x.done(a.status)
 }
 
--- a/app/sqgateway/gateway_test.go
+++ b/app/sqgateway/gateway_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,8 +72,10 @@
 			assert.Equal(t, res.StatusCode == http.StatusServiceUnavailable, res.Header.Get("Retry-After") != "")
 		})
 	}
+	res, _, _ := s.call(t, http.MethodPost, "/book/x", "", "X-Long", strings.Repeat("x", 20<<10))
+	assert.Equal(t, res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 	assert.Equal(t, len(e.requests()), 0)
-	res, _, _ := s.call(t, http.MethodGet, "/open/x", "", "X-Key", "")
+	res, _, _ = s.call(t, http.MethodGet, "/open/x", "", "X-Key", "")
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 	assert.Equal(t, e.requests()[0].Header.Get("X-Team"), "")
 }
@@ -202,6 +206,20 @@
 	assert.Assert(t, ms > 0 && ms <= 400)
 }
 
+// TestSlowReader wants a caller that does not take its answer cut off after its
+// deadline.
+func TestSlowReader(t *testing.T) {
+	e := newEndpoint(t, signed(strings.Repeat("x", 24<<20)))
+	s := newSystem(t, e.listed("i1", "ledger", sqplace.AnyStage))
+	c, err := net.Dial("tcp", s.callers.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt: a1\r\nX-Key: key\r\nX-Wait: 500\r\n\r\n")
+	assert.NilError(t, err)
+	waitFor(t, func() bool { return s.gateway.meter.running.Load() == 1 })
+	waitFor(t, func() bool { return s.gateway.meter.running.Load() == 0 })
+}
+
 // TestBilled wants each request that ran counted once for its team.
 func TestBilled(t *testing.T) {
 	e := newEndpoint(t, signed("x"))
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -83,6 +83,10 @@
 		return false
 	}
 	x.table = v.table
+	if most := v.table.Limits().HeaderBytes; most > 0 && headerBytes(x.r.Header) > most {
+		x.refuse(http.StatusRequestHeaderFieldsTooLarge, "the headers are too long", 0)
+		return false
+	}
 	x.route = v.table.Match(x.r.Host, x.path())
 	if x.route == nil {
 		x.refuse(http.StatusNotFound, "no route matches", 0)
@@ -103,6 +107,17 @@
 	return x.readBody()
 }
 
+// headerBytes returns the length of the names and values of headers.
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // path returns the path as the caller sent it.
 func (x *request) path() string {
 	target := x.target()
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -185,9 +185,12 @@
 		s.Budget = false
 		step = sqattempt.Next(s)
 	}
+	if step == sqattempt.Resend && x.ctx.Err() != nil {
+		step = sqattempt.GiveUp
+	}
 	x.g.log.Event(sqevent.SendFailed, x.attempt.ID, e.ID(), res.outcome.String(), step.String(),
 		now.Sub(begun).Milliseconds(), res.reason)
-	if step == sqattempt.Resend && x.ctx.Err() == nil {
+	if step == sqattempt.Resend {
 		x.g.meter.resent.Inc()
 		return false
 	}
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -4,10 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"sequoiadock/core/sqattempt"
-	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqframe"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqtable"
@@ -15,13 +13,8 @@
 	"sequoiadock/io/sqlink"
 )
 
-const (
-	// readBytes is how much of a stream is read at once.
-	readBytes = 16 << 10
-	// writeMargin is for how long after the deadline a caller may still take what
-	// was written.
-	writeMargin = 1 * time.Second
-)
+// readBytes is how much of a stream is read at once.
+const readBytes = 16 << 10
 
 // stream is an answer of events that has begun.
 type stream struct {
@@ -94,8 +87,6 @@
 func (x *request) write(reply *sqlink.Reply, framer sqframe.Framer, events []byte) bool {
 	if x.stream == nil {
 		x.stream = &stream{status: reply.Status(), rc: http.NewResponseController(x.w)}
-		// Without a deadline the write is bounded by the caller's connection alone.
-		_ = x.stream.rc.SetWriteDeadline(time.Now().Add(x.left(sqclock.Now()) + writeMargin))
 		x.writeHead(reply.Status(), reply.Header(), -1)
 	}
 	x.stream.framer = framer
@@ -112,63 +103,7 @@
 		x.write(reply, framer, nil)
 	}
 	x.end(ticket, true, true)
-	// The next request on the connection has a deadline of its own.
-	_ = x.stream.rc.SetWriteDeadline(time.Time{})
+	x.unboundWrites()
 	x.sends++
 	x.done(x.stream.status)
 }
-
-// prefill has a prompt read by a prefill engine and returns where its KV cache
-// can be fetched.
-func (x *request) prefill(choice sqplace.Choice) (string, error) {
-	e := choice.Prefill
-	x.lastPrefill = e.ID()
-	now := sqclock.Now()
-	ticket := x.begin(now, e, choice.PrefillUnread, choice.PrefillExpected)
-	handle, reached, err := x.readAhead(e)
-	if err != nil {
-		x.end(ticket, false, reached)
-		return "", err
-	}
-	x.g.mu.Lock()
-	ticket.First(sqclock.Now())
-	x.g.mu.Unlock()
-	x.end(ticket, true, true)
-	return e.Address() + "/" + handle, nil
-}
-
-// readAhead makes the call for a handle; reached is false without a connection.
-func (x *request) readAhead(e *sqplace.Endpoint) (handle string, reached bool, err error) {
-	reply, err := x.g.pool.Do(x.ctx, x.call(e, sqattempt.Send{Prefill: true}))
-	if err != nil {
-		return "", x.broken(err).reached, err
-	}
-	defer reply.Close()
-	x.hear(e, x.g.cfg.Wire.Answer(reply.Status(), reply.Header()))
-	body, err := io.ReadAll(io.LimitReader(reply, readBytes))
-	if err != nil {
-		return "", true, err
-	}
-	if reply.Status() != http.StatusOK {
-		return "", true, errDeclined(reply.Status())
-	}
-	handle, err = x.g.cfg.Wire.Handle(body)
-	return handle, true, err
-}
-
-// afterPrefill goes on without the engine that did not read the prompt. The
-// request itself has not run; true means that it is answered.
-func (x *request) afterPrefill(choice sqplace.Choice, err error) bool {
-	now := sqclock.Now()
-	x.g.log.Event(sqevent.PrefillFailed, x.attempt.ID, choice.Prefill.ID(), now.Sub(x.begun).Milliseconds(), err.Error())
-	x.direct = true
-	if x.ctx.Err() != nil {
-		x.finish(sqattempt.GiveUp, "the deadline passed while the prompt was read", 0)
-		return true
-	}
-	if x.broken(err).outcome != sqattempt.Unsent && !x.takeBudget(now) {
-		x.finish(x.stepWithout(now), "the prompt was not read and the retry budget is spent", refusedRetry)
-		return true
-	}
-	return false
-}
--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -72,7 +72,7 @@
 		address := g.locator.Holder()
 		if err := g.beat(ctx, address); err != nil {
 			pause = retryEvery
-			sqrpc.MoveOn(g.locator, address, err)
+			sqrpc.MoveOn(sqclock.Now(), g.locator, address, err)
 			g.noteSilence(address, silentSince, err)
 		} else {
 			silentSince = sqclock.Now()
--- a/app/sqgateway/wire_test.go
+++ b/app/sqgateway/wire_test.go
@@ -80,7 +80,7 @@
 	open := route("/open/", sqtable.Idempotent, "ledger", 1, false)
 	open.Open = true
 	b, err := json.Marshal(sqtable.Config{
-		Version: version, Keyed: true, Limits: sqtable.Limits{BodyBytes: 1 << 20},
+		Version: version, Keyed: true, Limits: sqtable.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10},
 		Services: []sqtable.ServiceConfig{{Name: "ledger"}, {Name: "engines", Engine: &sqtable.Engine{Slots: 16, CacheTokens: 1e6, TokenBytes: 1, LinkMbps: 1e6}}},
 		Teams:    []sqtable.TeamConfig{{Name: "team", Keys: []string{"key"}}},
 		Routes: []sqtable.RouteConfig{
--- a/io/sqlocate/sqlocate.go
+++ b/io/sqlocate/sqlocate.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"sequoiadock/io/sqclock"
 )
 
 // distrust is for how long an address that did not answer as the holder is not
@@ -64,10 +62,9 @@
 
 // Failed moves on from an address that does not hold the lease; named is the
 // address that it gave in its place, or "".
-func (l *Locator) Failed(address, named string) {
+func (l *Locator) Failed(now time.Time, address, named string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := sqclock.Now()
 	if named != "" && named != address && !l.distrusts(now, named) {
 		l.moveOn(address, named)
 		return
@@ -76,10 +73,9 @@
 }
 
 // Silent moves on from an address that did not answer.
-func (l *Locator) Silent(address string) {
+func (l *Locator) Silent(now time.Time, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := sqclock.Now()
 	l.failedAt[address] = now
 	l.moveOn(address, l.another(now, address))
 }
--- a/io/sqrpc/locate.go
+++ b/io/sqrpc/locate.go
@@ -1,15 +1,17 @@
 package sqrpc
 
 import (
+	"time"
+
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqlocate"
 )
 
-// MoveOn tells the locator how a call to an address failed.
-func MoveOn(l *sqlocate.Locator, address string, err error) {
+// MoveOn tells the locator how a call to an address failed at now.
+func MoveOn(now time.Time, l *sqlocate.Locator, address string, err error) {
 	if sqerror.KindOf(err) == sqerror.Unreachable {
-		l.Silent(address)
+		l.Silent(now, address)
 		return
 	}
-	l.Failed(address, Holder(err))
+	l.Failed(now, address, Holder(err))
 }
