Tables that no site has so far: plain services that are ordered, dropped services, links without a rate

Cause, found by reading: a plain service with bounds on its number ended the coordinator (no engine figures), so did a table that drops a service while one of its engines changes its stage; a link rate of 0 gave no time at all.

--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// switchTime returns how long a change of the stage takes an engine of the service
+// away; 0 if the table no longer has the service.
+func (b *orderBook) switchTime(service string) time.Duration {
+	s := b.table.Service(service)
+	if s == nil || s.Engine() == nil {
+		return 0
+	}
+	return s.Engine().SwitchTime
+}
+
 // addDemand adds what a gateway was asked for since its last beat.
 func (b *orderBook) addDemand(was, is map[string]*sqrpc.ServiceDemand) {
 	for service, d := range is {
@@ -204,7 +214,7 @@
 // time.
 func (c *coordinator) awaitStage(ctx context.Context, t *tenure, e *sqplace.Endpoint) {
 	c.mu.Lock()
-	away := t.orders.table.Service(e.Service()).Engine().SwitchTime
+	away := t.orders.switchTime(e.Service())
 	c.mu.Unlock()
 	sqclock.Sleep(ctx, away)
 	for range stagePolls {
--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -69,7 +69,7 @@
 		s.first, s.grownAt = len(v.Endpoints), now
 		s.wanted = s.first * firstPercent / 100
 	}
-	if seen {
+	if seen && v.Engine != nil {
 		need := readers(most) + decoders(most, v.Engine.Slots)
 		s.wanted = max(s.wanted, min(need, s.first*mostPercent/100))
 	}
--- a/core/sqcapacity/sqcapacity_test.go
+++ b/core/sqcapacity/sqcapacity_test.go
@@ -126,6 +126,18 @@
 	assert.Equal(t, p.service("engines").wanted, wanted)
 }
 
+// TestPlainService wants a service without engines ordered by its first fleet.
+func TestPlainService(t *testing.T) {
+	p := New()
+	v := first()
+	v.Engine = nil
+	orders(p, at(0), v)
+	v.Demand.Requests = 1000
+	p.See(at(1.5), v)
+	assert.DeepEqual(t, orders(p, at(2.5), v), map[string]int{"a true": zoneSpot, "b true": zoneSpot})
+	assert.Equal(t, len(p.Stages(at(3), v)), 0)
+}
+
 // TestStages wants engines to read ahead before the first request, and one or two
 // at a time to change under load.
 func TestStages(t *testing.T) {
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -114,6 +114,9 @@
 // transfer returns the time to move the KV cache of a whole prompt.
 func (s *pool) transfer(p *sqattempt.Prompt) time.Duration {
 	const bitsPerByte, mega = 8, 1e6
+	if s.engine.LinkMbps <= 0 {
+		return transferBase
+	}
 	seconds := float64(p.Tokens) * float64(s.engine.TokenBytes) * bitsPerByte / (s.engine.LinkMbps * mega)
 	return transferBase + time.Duration(seconds*float64(time.Second))
 }
--- a/core/sqplace/sqplace_test.go
+++ b/core/sqplace/sqplace_test.go
@@ -148,6 +148,14 @@
 	assert.Equal(t, p.ChooseDecode(start, q).Endpoint.ID(), "d1")
 }
 
+// TestNoLinkRate wants a prompt read ahead though the rate of the links is not
+// known.
+func TestNoLinkRate(t *testing.T) {
+	p := newPlacer(t, engine("p1", Prefill), engine("d1", Decode))
+	p.pool("engines").engine = &sqtable.Engine{Slots: 16, CacheTokens: 400_000, TokenBytes: 327_680}
+	assert.Equal(t, p.Choose(start, ask("s", 13_000, 3000)).Prefill.ID(), "p1")
+}
+
 // TestTickets wants the books to be empty when all requests have ended, however
 // they ended, and an end that comes twice to count once.
 func TestTickets(t *testing.T) {
