An entry applies its first configuration before it may act on it

Ruled out: the test's wait (the entry said that it was healthy). The other order stays while the lease holds, for withdrawn keys. TestAppliedBeforeFresh fails without the change.

--- a/io/sqwatch/sqwatch.go
+++ b/io/sqwatch/sqwatch.go
@@ -37,7 +37,8 @@
 	// Report returns what the entry tells the holder; the client adds what it
 	// knows already.
 	Report func(now time.Time) *sqrpc.WatchRequest
-	// Changed is called after each answer, before the next request is sent.
+	// Changed is called after each answer, before the next request is sent; before
+	// the lease begins if it was not held.
 	Changed func(v *View)
 	Log     *sqlog.Log
 	// HTTP, if set, is used in place of a client of its own.
@@ -222,7 +223,16 @@
 		return sqerror.New(sqerror.Config{Kind: sqerror.Conflict, Detail: "the holder answered with an older version"})
 	}
 	next := v.next(resp, address, sent, sqclock.Now(), c.cfg.Fresh)
-	c.view.Store(next)
+	if v.Fresh(sent) {
+		// Requests that begin from now on check the new keys; those that run with
+		// withdrawn ones are then stopped.
+		c.view.Store(next)
+		c.cfg.Changed(next)
+		return nil
+	}
+	// Nothing begins without the lease, so what is new is applied before anybody may
+	// act on it.
 	c.cfg.Changed(next)
+	c.view.Store(next)
 	return nil
 }
--- a/io/sqwatch/sqwatch_test.go
+++ b/io/sqwatch/sqwatch_test.go
@@ -86,6 +86,23 @@
 	assert.Equal(t, client.View().Epoch(), uint64(2))
 }
 
+// TestAppliedBeforeFresh wants what the first answer brings applied before anybody
+// may act on it: a request in between would find no route.
+func TestAppliedBeforeFresh(t *testing.T) {
+	c := &fakeControl{watch: func(*sqrpc.WatchRequest) (*sqrpc.WatchResponse, error) {
+		return &sqrpc.WatchResponse{FreshMillis: 200}, nil
+	}}
+	client := newClient(serve(t, c))
+	var fresh []bool
+	client.cfg.Changed = func(*View) { fresh = append(fresh, client.Fresh(sqclock.Now())) }
+	assert.NilError(t, client.renew(context.Background()))
+	assert.NilError(t, client.renew(context.Background()))
+	assert.DeepEqual(t, fresh, []bool{false, true})
+	time.Sleep(250 * time.Millisecond)
+	assert.NilError(t, client.renew(context.Background()))
+	assert.DeepEqual(t, fresh, []bool{false, true, false})
+}
+
 // TestNeverGoesBack offers older versions, of configuration and of keys: neither
 // is taken, and the lease is not renewed by them.
 func TestNeverGoesBack(t *testing.T) {
