--- a/io/sqreplica/cluster_test.go
+++ b/io/sqreplica/cluster_test.go
@@ -121,11 +121,12 @@
 	n.replica = r
 	l, err := net.Listen("tcp", cfg.Address)
 	assert.NilError(n.tb, err)
-	n.server = &http.Server{Handler: sqrpc.NewPeerServer(NewPeerServer(r)), ReadHeaderTimeout: time.Second}
-	go func() { _ = n.server.Serve(l) }()
+	srv := &http.Server{Handler: sqrpc.NewPeerServer(NewPeerServer(r)), ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel, n.done = cancel, make(chan error, 1)
-	go func() { n.done <- r.Run(ctx) }()
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	n.server, n.cancel, n.done = srv, cancel, done
 	return nil
 }
 
