Every holder orders from the committed first fleet

Cause: a new holder took the endpoints listed when it began for the first fleet, so that each change of the holder raised what was wanted and what stays dear.

Ruled out: orders of the shortage rule (none was logged with that reason but the dear ones' count itself).

Change: the first holder commits the number before it orders anything (FixFirstFleet); later ones plan from it.

Tests: TestFirstFleet, TestLaterHolder (fail without it).

--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -6,6 +6,7 @@
 
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqcapacity"
+	"sequoiadock/core/sqcommand"
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
@@ -94,6 +95,10 @@
 			return
 		}
 		orders, changes := c.planOrders(now, t)
+		if c.fixFirstFleets(ctx, now, t) != nil {
+			// The next holder would take what is ordered now for the first fleet.
+			return
+		}
 		for _, o := range orders {
 			c.order(ctx, t, o)
 		}
@@ -114,6 +119,7 @@
 	var changes []sqcapacity.Change
 	for _, s := range t.orders.table.Services() {
 		v := serviceView(s, t)
+		v.First = c.firstFleet(s.Name())
 		t.orders.planner.See(now, v)
 		orders = append(orders, t.orders.planner.Orders(now, v)...)
 		changes = append(changes, t.orders.planner.Stages(now, v)...)
@@ -125,6 +131,37 @@
 	return orders, changes
 }
 
+// fixFirstFleets commits how many endpoints each service had before any were
+// ordered, so that all later holders order by the same numbers.
+func (c *coordinator) fixFirstFleets(ctx context.Context, now time.Time, t *tenure) error {
+	c.mu.Lock()
+	var found []*sqcommand.FirstFleet
+	if t.orders.table != nil {
+		for _, s := range t.orders.table.Services() {
+			if n := t.orders.planner.FirstFleet(now, s.Name()); n > 0 && c.firstFleet(s.Name()) == 0 {
+				found = append(found, &sqcommand.FirstFleet{Service: s.Name(), Endpoints: uint32(n)})
+			}
+		}
+	}
+	c.mu.Unlock()
+	for _, f := range found {
+		cmd := &sqcommand.Command{Body: &sqcommand.Command_FixFirstFleet{FixFirstFleet: &sqcommand.FixFirstFleet{Fleet: f}}}
+		if _, err := c.propose(ctx, cmd); err != nil {
+			c.log.Event(sqevent.ProposalFailed, "first fleet", err.Error())
+			return err
+		}
+		c.log.Event(sqevent.FirstFleetFixed, f.GetService(), f.GetEndpoints())
+	}
+	return nil
+}
+
+// firstFleet returns how many endpoints the service had before any were ordered, 0
+// if that is not committed.
+func (c *coordinator) firstFleet(service string) (n int) {
+	c.machine.Read(func(s *sqstate.State) { n = s.FirstFleet(service) })
+	return n
+}
+
 // readTable brings the table that orders are planned by up to date; false means
 // that there is none.
 func (c *coordinator) readTable(t *tenure) bool {
--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -43,7 +43,7 @@
 	}
 	s := p.service(v.Name)
 	s.noteWanted(now, v)
-	if s.first == 0 || now.Sub(s.grownAt) < settled {
+	if p.FirstFleet(now, v.Name) == 0 {
 		return nil
 	}
 	zones := zonesOf(v)
@@ -65,10 +65,13 @@
 // cache.
 func (s *service) noteWanted(now time.Time, v *Service) {
 	most, seen := s.rates.peak()
-	if !seen && len(s.ordered) == 0 && len(v.Endpoints) > s.first {
+	switch {
+	case v.First > 0:
+		s.first = v.First
+	case !seen && len(s.ordered) == 0 && len(v.Endpoints) > s.first:
 		s.first, s.grownAt = len(v.Endpoints), now
-		s.wanted = s.first * firstPercent / 100
 	}
+	s.wanted = max(s.wanted, s.first*firstPercent/100)
 	if seen && v.Engine != nil {
 		need := readers(most) + decoders(most, v.Engine.Slots)
 		s.wanted = max(s.wanted, min(need, s.first*mostPercent/100))
--- a/core/sqcapacity/sqcapacity.go
+++ b/core/sqcapacity/sqcapacity.go
@@ -28,6 +28,9 @@
 	Engine    *sqtable.Engine
 	Endpoints []sqplace.Endpoint
 	Demand    Demand
+	// First is how many endpoints there were before any were ordered, as an earlier
+	// holder saw it; 0 if none did.
+	First int
 }
 
 // Order is how many endpoints of a kind there shall be in a zone.
@@ -82,6 +85,16 @@
 // New returns a planner that has seen nothing.
 func New() *Planner { return &Planner{services: map[string]*service{}} }
 
+// FirstFleet returns how many endpoints a service had before any were ordered, 0
+// while that is not certain.
+func (p *Planner) FirstFleet(now time.Time, service string) int {
+	s := p.service(service)
+	if s.first == 0 || now.Sub(s.grownAt) < settled {
+		return 0
+	}
+	return s.first
+}
+
 func (p *Planner) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
--- a/core/sqcapacity/sqcapacity_test.go
+++ b/core/sqcapacity/sqcapacity_test.go
@@ -98,6 +98,23 @@
 	assert.Equal(t, len(p.Orders(at(14), v)), 0, "a zone that has none is left alone")
 }
 
+// TestLaterHolder wants a holder that comes later to plan from the first fleet,
+// and not from what was ordered since.
+func TestLaterHolder(t *testing.T) {
+	p := New()
+	v := view(
+		endpoints("a", false, sqplace.Decode, zoneDear), endpoints("b", false, sqplace.Decode, zoneDear),
+		endpoints("a", true, sqplace.Decode, zoneSpot), endpoints("b", true, sqplace.Decode, zoneSpot),
+	)
+	v.First = 12
+	assert.Equal(t, len(orders(p, at(0), v)), 0, "nothing to change")
+	assert.Equal(t, p.FirstFleet(at(0), "engines"), 12)
+	assert.Equal(t, len(orders(p, at(5), v)), 0)
+
+	v.First = 0
+	assert.Equal(t, p.service("engines").wanted, 12*firstPercent/100)
+}
+
 // TestShortage wants dear endpoints ordered when less than half of what is wanted
 // runs.
 func TestShortage(t *testing.T) {
--- a/core/sqcapacity/stages.go
+++ b/core/sqcapacity/stages.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	s := p.service(v.Name)
-	if s.first == 0 || now.Sub(s.grownAt) < settled {
+	if p.FirstFleet(now, v.Name) == 0 {
 		return nil
 	}
 	var readersNow, decodersNow []sqplace.Endpoint
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -18,6 +18,7 @@
 	EndpointsRefused   = Event{5013, Warn, "order of endpoints not accepted", []string{"service", "zone", "spot", "count", "error"}}
 	StageOrdered       = Event{5014, Info, "stage of an engine ordered", []string{"endpoint", "stage", "reason"}}
 	DiskRetried        = Event{5016, Error, "the disk failed and will be opened again", []string{"error", "pauseMillis"}}
+	FirstFleetFixed    = Event{5018, Info, "first fleet of a service committed", []string{"service", "endpoints"}}
 	LoadSeen           = Event{5017, Info, "load of a service", []string{"service", "stage", "endpoints", "away", "running", "unreadTokens"}}
 	StageRefused       = Event{5015, Warn, "order of a stage not accepted", []string{"endpoint", "stage", "error"}}
 )
@@ -25,5 +26,5 @@
 var coordinatorEvents = []Event{
 	FoundingFailed, MemberChanged, MemberChangeFailed, TableCommitted, TableRefused, TableNotCommitted,
 	GatewayFound, GatewayLeaves, GatewayLost, ListChanged, ListUnread, ListReadAgain, EndpointsOrdered, EndpointsRefused,
-	StageOrdered, StageRefused, DiskRetried, LoadSeen,
+	StageOrdered, StageRefused, DiskRetried, LoadSeen, FirstFleetFixed,
 }
--- a/core/sqstate/snapshot.go
+++ b/core/sqstate/snapshot.go
@@ -47,6 +47,7 @@
 	out.Entries = s.Entries()
 	out.TableVersion, out.TableDocument = s.Table()
 	out.CountWindows = s.CountWindows()
+	out.FirstFleets = s.listFirstFleets()
 	return out
 }
 
--- a/core/sqstate/state.go
+++ b/core/sqstate/state.go
@@ -54,6 +54,8 @@
 	tableDocument []byte
 	// countWindows are in rising order of number.
 	countWindows []*sqcommand.CountWindow
+	// firstFleets has, by service, how many endpoints there were before any orders.
+	firstFleets map[string]uint32
 }
 
 // New returns the empty state of a new deployment.
@@ -90,6 +92,7 @@
 	s.draining = make(map[string]bool)
 	s.entries = make(map[string]bool)
 	s.tableVersion, s.tableDocument, s.countWindows = 0, nil, nil
+	s.firstFleets = map[string]uint32{}
 }
 
 // Version returns the number of the configuration in force, 0 for none.
@@ -149,6 +152,8 @@
 		return s.freezeCounts(b.FreezeCounts)
 	case *sqcommand.Command_MarkCounts:
 		return s.markCounts(b.MarkCounts)
+	case *sqcommand.Command_FixFirstFleet:
+		return s.fixFirstFleet(b.FixFirstFleet.GetFleet())
 	default:
 		// A newer version may write commands that this one does not know. All
 		// replicas of one version agree, but the answer says that it did nothing.
--- a/core/sqstate/table.go
+++ b/core/sqstate/table.go
@@ -1,6 +1,8 @@
 package sqstate
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"google.golang.org/protobuf/proto"
@@ -76,10 +78,34 @@
 	return &sqcommand.Result{Version: s.tableVersion}
 }
 
+// FirstFleet returns how many endpoints the service had before any were ordered,
+// 0 if that was not fixed yet.
+func (s *State) FirstFleet(service string) int { return int(s.firstFleets[service]) }
+
+// fixFirstFleet keeps the first number for a service: whoever orders later goes
+// by the same one.
+func (s *State) fixFirstFleet(f *sqcommand.FirstFleet) *sqcommand.Result {
+	if s.firstFleets[f.GetService()] == 0 {
+		s.firstFleets[f.GetService()] = f.GetEndpoints()
+	}
+	return &sqcommand.Result{Version: s.tableVersion}
+}
+
+func (s *State) listFirstFleets() []*sqcommand.FirstFleet {
+	var list []*sqcommand.FirstFleet
+	for _, service := range slices.Sorted(maps.Keys(s.firstFleets)) {
+		list = append(list, &sqcommand.FirstFleet{Service: service, Endpoints: s.firstFleets[service]})
+	}
+	return list
+}
+
 func (s *State) restoreTable(in *sqcommand.State) {
 	s.tableVersion = in.GetTableVersion()
 	s.tableDocument = append([]byte(nil), in.GetTableDocument()...)
 	for _, w := range in.GetCountWindows() {
 		s.countWindows = append(s.countWindows, proto.CloneOf(w))
 	}
+	for _, f := range in.GetFirstFleets() {
+		s.firstFleets[f.GetService()] = f.GetEndpoints()
+	}
 }
--- a/core/sqstate/table_test.go
+++ b/core/sqstate/table_test.go
@@ -57,6 +57,22 @@
 	assert.Equal(t, string(document), "two")
 }
 
+// TestFirstFleet wants the first number of endpoints kept, also over a restart.
+func TestFirstFleet(t *testing.T) {
+	s := New(Config{})
+	fix := func(n uint32) {
+		s.Apply(&sqcommand.Command{Body: &sqcommand.Command_FixFirstFleet{FixFirstFleet: &sqcommand.FixFirstFleet{
+			Fleet: &sqcommand.FirstFleet{Service: "engines", Endpoints: n},
+		}}})
+	}
+	assert.Equal(t, s.FirstFleet("engines"), 0)
+	fix(18)
+	fix(36)
+	other := New(Config{})
+	other.Restore(s.Snapshot())
+	assert.Equal(t, other.FirstFleet("engines"), 18)
+}
+
 // TestUnreportedKept wants no window forgotten before it was reported.
 func TestUnreportedKept(t *testing.T) {
 	s := New(Config{})
