--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -17,8 +17,8 @@
 	decoderUsePercent = 50
 	// firstPercent of the first fleet is wanted before any demand was seen, and
 	// mostPercent at most.
-	firstPercent = 167
-	mostPercent  = 180
+	firstPercent = 200
+	mostPercent  = 200
 	// dearPercent of the first fleet stays as it is: two zones may lose all others at
 	// the same time.
 	dearPercent = 50
