--- a/core/sqcapacity/stages.go
+++ b/core/sqcapacity/stages.go
@@ -11,10 +11,10 @@
 const (
 	// firstReadPercent of the engines read prompts ahead before any demand was
 	// seen.
-	firstReadPercent = 55
+	firstReadPercent = 40
 	// leastReadPercent and mostReadPercent bound the part that reads ahead.
-	leastReadPercent = 40
-	mostReadPercent  = 60
+	leastReadPercent = 34
+	mostReadPercent  = 46
 	// slack is by how many engines the split may be off before it is changed.
 	slack = 2
 	// atOncePercent of the engines may change at the same time under load.
