--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -30,7 +30,7 @@
 	settled = 1200 * time.Millisecond
 	// retryRefused is how long a zone without endpoints of a kind is left alone,
 	// repeatAfter how long an order is waited for before it is sent again.
-	retryRefused = 3 * time.Second
+	retryRefused = 700 * time.Millisecond
 	repeatAfter  = 6 * time.Second
 )
 
