--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// beatEvery is the time between two beats, retryEvery that after one without
-	// an answer; beatTimeout bounds one.
-	beatEvery   = 200 * time.Millisecond
+	// shortestBeat and longestBeat bound the time between two beats, and
+	// beatPerGateway is what each gateway adds to it: the holder hears 400 beats a
+	// second at most as long as the longest pause allows it.
+	shortestBeat   = 100 * time.Millisecond
+	longestBeat    = 600 * time.Millisecond
+	beatPerGateway = 2500 * time.Microsecond
+	// retryEvery is the time after a beat without an answer; beatTimeout bounds one.
 	retryEvery  = 50 * time.Millisecond
 	beatTimeout = 400 * time.Millisecond
 	// maxUnsent bounds the reads that wait for a holder.
@@ -64,11 +68,16 @@
 	}
 }
 
+// beatPause returns the time between two beats of one of so many gateways.
+func beatPause(gateways int) time.Duration {
+	return min(max(time.Duration(gateways)*beatPerGateway, shortestBeat), longestBeat)
+}
+
 // beats exchanges beats with the holder until ctx ends.
 func (g *gateway) beats(ctx context.Context) {
 	silentSince := sqclock.Now()
 	for {
-		pause := beatEvery
+		pause := beatPause(g.view.Load().count)
 		address := g.locator.Holder()
 		if err := g.beat(ctx, address); err != nil {
 			pause = retryEvery
