Dear endpoints may take the places of cheap ones that are not to be had

Cause: with twice the first fleet wanted, the cheap ones that were asked for filled the operator's maximum of a zone, so that the shortage rule could order no dear one (TestShortage failed: 3 of 24 running, and no order beyond the least). Change: what is there counts against the maximum, not what is asked for. A demand may ask for 2.5 times the first fleet, where the maximum allows it (before: no more than what is wanted anyway, TestDemandAdds).

--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -18,7 +18,7 @@
 	// firstPercent of the first fleet is wanted before any demand was seen, and
 	// mostPercent at most.
 	firstPercent = 200
-	mostPercent  = 200
+	mostPercent  = 250
 	// dearPercent of the first fleet stays as it is: two zones may lose all others at
 	// the same time.
 	dearPercent = 50
@@ -118,7 +118,9 @@
 		dear = have.dear
 	}
 	if extra > 0 {
-		dear = min(have.dear+extra, v.Scaling.Max-spot)
+		// Cheap ones that are not there make room: the zone's limit is for both kinds.
+		dear = max(dear, min(have.dear+extra, v.Scaling.Max-have.spot))
+		spot = min(spot, v.Scaling.Max-dear)
 	}
 	return []Order{
 		{Service: v.Name, Zone: zone, Spot: true, Count: spot, Had: have.spot, Reason: "cheaper, spread over zones"},
