Dear endpoints stand in only below two fifths of what is wanted

Cause: since dear ones may take the places of cheap ones, the shortage rule fires in most reclaims of two zones (18 of 36 left, 17 with a crash): they are paid for 10 to 20 s, serve after 4 s and displace cheap ones that come back.

--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -24,7 +24,7 @@
 	dearPercent = 50
 	// leastPercent of what is wanted must run; what is not to be had cheaply is
 	// then ordered dear.
-	leastPercent = 50
+	leastPercent = 40
 	// settled is how long the first fleet must not have grown: the platform's list
 	// fills up by and by.
 	settled = 1200 * time.Millisecond
