Reading a prompt harms a running request by 8 in 100 of its time

A piece of 256 tokens between two tokens of 6 in an event keeps the pause under 110 ms of the 150 allowed, so that the requests beside it are hardly late by it.

--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -34,7 +34,7 @@
 	harmPercent = 100
 	// harmPercentEach is what a request that makes tokens loses of the time in which
 	// its engine reads.
-	harmPercentEach = 25
+	harmPercentEach = 8
 	// coldDivisor is the part of the time that an endpoint is still slow for that
 	// a request is taken to lose.
 	coldDivisor = 8
