Refusals while a prompt is read name their reason; load test of hearing sooner; seeds and gauges read once

- app/sqgateway sendOnce: when the freshness lease ended while a prompt was read ahead, the refusal's reason was empty and its time to come back did not follow the silence; found on the last read.

--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -101,7 +101,6 @@
 	client   *http.Client
 	log      *sqlog.Log
 	metrics  *metrics.Set
-	meter    meter
 
 	// seeds are those of the settings in force.
 	seeds atomic.Pointer[[]string]
@@ -132,7 +131,7 @@
 		metrics: metrics.NewSet(),
 	}
 	c.seeds.Store(&cfg.Seeds)
-	c.meter = newMeter(c)
+	c.registerGauges()
 	c.platform, c.engines = cfg.Platform(c.client, c.guarded)
 	transport := sqreplica.NewPeerTransport(sqreplica.TransportConfig{Log: cfg.Log})
 	defer transport.Close()
--- a/app/sqcoordinator/metrics.go
+++ b/app/sqcoordinator/metrics.go
@@ -6,10 +6,8 @@
 	"sequoiadock/io/sqclock"
 )
 
-// meter is what the process measures of itself.
-type meter struct{}
-
-func newMeter(c *coordinator) meter {
+// registerGauges registers what the process measures of itself.
+func (c *coordinator) registerGauges() {
 	c.metrics.NewGauge("sequoiadock_coordinator_holds_lease", func() float64 {
 		_, _, held := c.replica.Authority(sqclock.Now())
 		if held {
@@ -26,7 +24,6 @@
 	c.metrics.NewGauge("sequoiadock_coordinator_list_age_seconds", func() float64 {
 		return c.measure(func(now time.Time, t *tenure) float64 { return now.Sub(t.listedAt).Seconds() })
 	})
-	return meter{}
 }
 
 // measure returns a figure of the tenure, 0 if the process does not hold the
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -80,7 +80,7 @@
 	x.awaitFirstView()
 	v := x.g.view.Load()
 	if !v.fresh(x.begun) {
-		x.refuse(http.StatusServiceUnavailable, "the gateway has not heard the holder", v.retryAfter(x.begun))
+		x.refuse(http.StatusServiceUnavailable, reasonStale, v.retryAfter(x.begun))
 		return false
 	}
 	x.table = v.table
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -10,6 +10,9 @@
 	"sequoiadock/io/sqclock"
 )
 
+// reasonStale says in logs why a gateway whose freshness lease has ended refuses.
+const reasonStale = "the gateway has not heard the holder"
+
 // serve sends the request to endpoints until it is answered.
 func (x *request) serve() {
 	x.g.mu.Lock()
@@ -19,7 +22,7 @@
 	for {
 		now := sqclock.Now()
 		if v := x.g.view.Load(); !v.fresh(now) {
-			x.finish(x.stepWithout(now), "the gateway has not heard the holder", v.retryAfter(now))
+			x.finish(x.stepWithout(now), reasonStale, v.retryAfter(now))
 			return
 		}
 		choice := x.choose(now)
@@ -120,8 +123,13 @@
 		return x.afterPrefill(choice, err)
 	}
 	now := sqclock.Now()
+	if v := x.g.view.Load(); !v.fresh(now) {
+		x.release(choice.Prefill, source)
+		x.finish(x.stepWithout(now), reasonStale, v.retryAfter(now))
+		return true
+	}
 	decode := x.chooseDecode(now)
-	if decode.Endpoint == nil || !x.g.view.Load().fresh(now) {
+	if decode.Endpoint == nil {
 		x.release(choice.Prefill, source)
 		x.finish(x.stepWithout(now), decode.Reason, refusedRetry)
 		return true
--- a/app/sqprocess/members.go
+++ b/app/sqprocess/members.go
@@ -38,10 +38,7 @@
 		OperatorHandler: sqadapter.OperatorHandler,
 		Reload: watchSettings(ctx, log, "coordinator", file, func() ([]string, []*sqerror.Error) {
 			s, faults := sqsettings.ReadCoordinator(file)
-			if len(faults) > 0 {
-				return nil, faults
-			}
-			return s.Cluster().Seeds(), nil
+			return seedsOf(s, faults)
 		}),
 		Log: log,
 	})
@@ -65,12 +62,22 @@
 		DirectoryHandler: sqadapter.DirectoryHandler, ReadyHandler: sqadapter.ReadyHandler,
 		Reload: watchSettings(ctx, log, "gateway", file, func() ([]string, []*sqerror.Error) {
 			s, faults := sqsettings.ReadGateway(file)
-			if len(faults) > 0 {
-				return nil, faults
-			}
-			return s.Cluster().Seeds(), nil
+			return seedsOf(s, faults)
 		}),
 		Log: log,
 	})
 	return ended(log, "gateway", n.Name(), err, stderr)
 }
+
+// clustered is settings that name the group.
+type clustered interface {
+	Cluster() sqsettings.Cluster
+}
+
+// seedsOf returns the seeds that settings name, or the faults of the settings.
+func seedsOf(s clustered, faults []*sqerror.Error) ([]string, []*sqerror.Error) {
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return s.Cluster().Seeds(), nil
+}
--- a/core/sqplace/load_test.go
+++ b/core/sqplace/load_test.go
@@ -84,19 +84,11 @@
 		gateways[i] = newPlacer(t, fleet...)
 		gateways[i].draws = uint64(i)
 	}
-	type flight struct {
-		ticket *Ticket
-		until  time.Time
-	}
 	flights := make([][]flight, loadGateways)
 	told := start
 	choose := func(now time.Time, g int, q *Query) string {
 		for i, p := range gateways {
-			for len(flights[i]) > 0 && !flights[i][0].until.After(now) {
-				flights[i][0].ticket.First(flights[i][0].until)
-				flights[i][0].ticket.End(flights[i][0].until, true, true)
-				flights[i] = flights[i][1:]
-			}
+			flights[i] = finished(flights[i], now)
 			if now.Sub(told) >= tellEvery {
 				reads := p.TakeReads()
 				for j := range gateways {
