Parts of prompts that nobody shares count in what an engine's memory holds

A gateway counted shared parts alone, in 60 in 100 of the memory; a long prompt's own part takes a quarter as much and is told to nobody. Change: what gateways tell each other of a read has the length of the own part; it takes memory in the model like any other. Shared and own parts together have 75 in 100 of the memory.

Test: TestOwnPartsTakeMemory (fails without).

--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -150,7 +150,7 @@
 		req.Loads = append(req.Loads, &sqrpc.InFlight{Id: id, Running: uint32(l.Running), UnreadTokens: uint64(l.Unread)})
 	}
 	for _, r := range g.placer.TakeReads() {
-		g.unsent = append(g.unsent, &sqrpc.PromptRead{Endpoint: r.Endpoint, Beginning: r.Beginning, Tokens: uint32(r.Tokens)})
+		g.unsent = append(g.unsent, &sqrpc.PromptRead{Endpoint: r.Endpoint, Beginning: r.Beginning, Tokens: uint32(r.Tokens), Own: uint32(r.Own)})
 	}
 	g.unsent = g.unsent[max(0, len(g.unsent)-maxUnsent):]
 	req.Reads, req.ReadsSeen = g.unsent, g.readsSeen
@@ -236,7 +236,7 @@
 func (g *gateway) acceptReads(res *sqrpc.BeatResponse) {
 	reads := make([]sqplace.Read, 0, len(res.GetReads()))
 	for _, r := range res.GetReads() {
-		reads = append(reads, sqplace.Read{Endpoint: r.GetEndpoint(), Beginning: r.GetBeginning(), Tokens: int(r.GetTokens())})
+		reads = append(reads, sqplace.Read{Endpoint: r.GetEndpoint(), Beginning: r.GetBeginning(), Tokens: int(r.GetTokens()), Own: int(r.GetOwn())})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/core/sqplace/cache.go
+++ b/core/sqplace/cache.go
@@ -11,7 +11,7 @@
 const (
 	// cacheUsePercent is the part of an engine's memory that cached parts are
 	// taken to have; the rest is for running requests.
-	cacheUsePercent = 60
+	cacheUsePercent = 75
 	// homeMinTokens is the least length of a shared beginning that has a home.
 	homeMinTokens = 512
 	// homeUnreadPercent is the part of a shared beginning that its home engine is
@@ -114,6 +114,9 @@
 	Beginning uint64
 	// Tokens is the length of the beginning's last part.
 	Tokens int
+	// Own is the length of what followed the beginning in the prompt: it takes memory
+	// too, though nobody asks for it again.
+	Own int
 }
 
 // maxReads bounds the reads that wait to be told to others.
@@ -130,11 +133,20 @@
 func (p *Placer) NoteReads(now time.Time, reads []Read) {
 	for _, r := range reads {
 		if n := p.nodes[r.Endpoint]; n != nil {
-			n.cache.touch(now, chain(r.Beginning), r.Tokens, p.pool(n.endpoint.Service()).cacheTokens())
+			capacity := p.pool(n.endpoint.Service()).cacheTokens()
+			n.cache.touch(now, chain(r.Beginning), r.Tokens, capacity)
+			p.touchOwn(now, n, r.Own, capacity)
 		}
 	}
 }
 
+// touchOwn notes the part of a prompt that no other request shares.
+func (p *Placer) touchOwn(now time.Time, n *node, tokens, capacity int) {
+	if tokens > 0 {
+		n.cache.touch(now, chain(p.draw()), tokens, capacity)
+	}
+}
+
 // cacheTokens returns how much an engine of the service keeps of prompts.
 func (s *pool) cacheTokens() int {
 	if s.engine == nil {
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -175,8 +175,12 @@
 
 // jitter lengthens a cost a little, by a draw of its own.
 func (p *Placer) jitter(d time.Duration) time.Duration {
-	// A step of a linear congruential generator (Knuth, MMIX).
+	return d + d*time.Duration(p.draw()>>33%jitterPercent)/100
+}
+
+// draw returns the next state of a linear congruential generator (Knuth, MMIX); its
+// high bits are the random ones.
+func (p *Placer) draw() uint64 {
 	p.draws = p.draws*6364136223846793005 + 1442695040888963407
-	part := time.Duration(p.draws >> 33 % jitterPercent)
-	return d + d*part/100
+	return p.draws
 }
--- a/core/sqplace/sqplace_test.go
+++ b/core/sqplace/sqplace_test.go
@@ -173,3 +173,27 @@
 	c.Abandon()
 	assert.Equal(t, len(p.Loads()), 0)
 }
+
+// TestOwnPartsTakeMemory wants a beginning taken for gone once other prompts have
+// filled the engine's memory with parts that nobody shares, at the gateway that
+// sent them and at others that heard of them.
+func TestOwnPartsTakeMemory(t *testing.T) {
+	e := engine("e1", Decode)
+	p1, p2 := newPlacer(t, e), newPlacer(t, e)
+	kept := ask("kept", 13_000, 0)
+	kept.Prompt.Parts[1].Tokens = 0
+	known := func(p *Placer) int {
+		names, lengths := chains(&kept.Prompt)
+		return p.nodes["e1"].cache.known(names, lengths)
+	}
+	p1.Begin(start, &e, kept, 13_000, 0)
+	p2.NoteReads(start, p1.TakeReads())
+	assert.Equal(t, known(p1), 13_000)
+	for i := range 7 {
+		now := start.Add(time.Duration(i+1) * time.Second)
+		p1.Begin(now, &e, ask("other", 13_000, 50_000), 50_000, 0)
+		p2.NoteReads(now, p1.TakeReads())
+	}
+	assert.Equal(t, known(p1), 0)
+	assert.Equal(t, known(p2), 0)
+}
--- a/core/sqplace/ticket.go
+++ b/core/sqplace/ticket.go
@@ -42,12 +42,19 @@
 		return
 	}
 	names, lengths := chains(prompt)
+	told := -1
 	for i, name := range names {
 		n.cache.touch(now, name, prompt.Parts[i].Tokens, s.cacheTokens())
 		if lengths[i] >= homeMinTokens && len(p.reads) < maxReads {
+			told = len(p.reads)
 			p.reads = append(p.reads, Read{Endpoint: n.endpoint.ID(), Beginning: uint64(name), Tokens: prompt.Parts[i].Tokens})
 		}
 	}
+	if told >= 0 {
+		own := prompt.Parts[len(prompt.Parts)-1].Tokens
+		p.reads[told].Own = own
+		p.touchOwn(now, n, own, s.cacheTokens())
+	}
 }
 
 // First notes the first token.
