--- a/app/sqcoordinator/duties.go
+++ b/app/sqcoordinator/duties.go
@@ -44,13 +44,22 @@
 	})
 }
 
+// listAge returns how old the platform's list is, or how long this tenure has had
+// none.
+func (t *tenure) listAge(now time.Time) time.Duration {
+	if t.listedAt.IsZero() {
+		return now.Sub(t.since)
+	}
+	return now.Sub(t.listedAt)
+}
+
 // noteList takes a reading of the list.
 func (c *coordinator) noteList(now time.Time, t *tenure, list []sqplace.Endpoint, unreadable int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
 		if !t.silent {
-			c.log.Event(sqevent.ListUnread, now.Sub(t.listedAt).Milliseconds(), err.Error())
+			c.log.Event(sqevent.ListUnread, t.listAge(now).Milliseconds(), err.Error())
 		}
 		t.silent = true
 		return
--- a/app/sqcoordinator/metrics.go
+++ b/app/sqcoordinator/metrics.go
@@ -22,7 +22,7 @@
 		return c.measure(func(_ time.Time, t *tenure) float64 { return float64(len(t.fleet)) })
 	})
 	c.metrics.NewGauge("sequoiadock_coordinator_list_age_seconds", func() float64 {
-		return c.measure(func(now time.Time, t *tenure) float64 { return now.Sub(t.listedAt).Seconds() })
+		return c.measure(func(now time.Time, t *tenure) float64 { return t.listAge(now).Seconds() })
 	})
 }
 
--- a/app/sqcoordinator/orders_test.go
+++ b/app/sqcoordinator/orders_test.go
@@ -41,6 +41,16 @@
 	assert.Equal(t, len(te.orders.changed), 0)
 }
 
+// TestListAge wants the age of a list that was never read counted from the
+// beginning of the tenure.
+func TestListAge(t *testing.T) {
+	begun := time.Unix(100, 0)
+	te := newTenure(begun, 2, time.Second)
+	assert.Equal(t, te.listAge(begun.Add(3*time.Second)), 3*time.Second)
+	te.listedAt = begun.Add(2 * time.Second)
+	assert.Equal(t, te.listAge(begun.Add(3*time.Second)), time.Second)
+}
+
 // TestDemand wants what gateways report as sums added up once, also over a restart.
 func TestDemand(t *testing.T) {
 	b := newOrderBook()
