--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -96,9 +96,29 @@
 	})
 }
 
+// logBuffer keeps what a gateway logs.
+type logBuffer struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.data = append(b.data, p...)
+	return len(p), nil
+}
+
+func (b *logBuffer) bytes() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]byte(nil), b.data...)
+}
+
 // system is a gateway with a holder that a test plays.
 type system struct {
 	holder  *fakeHolder
+	logs    *logBuffer
 	gateway *gateway
 	callers *httptest.Server
 }
@@ -122,10 +142,11 @@
 	service := sqrpc.NewCoordinatorServer(h)
 	mux.Handle(service.PathPrefix(), service)
 	control := httptest.NewServer(mux)
+	logs := &logBuffer{}
 	g := newGateway(Config{
 		Name: "g", Zone: "a", Callers: "10.0.0.1:1", Seeds: []string{control.Listener.Addr().String()},
 		Retry: sqretry.Config{Ratio: 10, Window: 10 * time.Second}, Window: 5 * time.Second, Grace: 8 * time.Second, Wire: testWire{},
-		Log:              sqlog.New(sqlog.Config{Name: "g", Output: io.Discard, Level: sqevent.Info}),
+		Log:              sqlog.New(sqlog.Config{Name: "g", Output: logs, Level: sqevent.Info}),
 		ReadyHandler:     func(func() bool) http.Handler { return http.NotFoundHandler() },
 		DirectoryHandler: func(sqcore.Directory) http.Handler { return http.NotFoundHandler() },
 	})
@@ -142,7 +163,7 @@
 		<-done
 		control.Close()
 	})
-	return &system{holder: h, gateway: g, callers: callers}
+	return &system{holder: h, logs: logs, gateway: g, callers: callers}
 }
 
 func waitFor(t *testing.T, ready func() bool) {
--- a/app/sqoperator/sqoperator.go
+++ b/app/sqoperator/sqoperator.go
@@ -67,7 +67,7 @@
 func commands() []command {
 	return []command{
 		checkCommand, setupCommand, publishCommand,
-		keyCommand, statusCommand, explainCommand, reportCommand,
+		keyCommand, statusCommand, explainCommand, traceCommand, reportCommand,
 		drainCommand, replaceCommand, settleCommand, versionCommand,
 	}
 }
