Replicas of tests have loopback addresses of their own

Cause: the port was picked by listening and closing, from the range that the kernel gives to outgoing connections; while a node is stopped or not yet started, any connection of the machine may get it. Ruled out: a node that was not stopped (the address was never served). proof/sqcluster holds its ports on another address already, app/sqcoordinator has own addresses. Now each node has an address that no other has, with a port below that range.

--- a/io/sqreplica/cluster_test.go
+++ b/io/sqreplica/cluster_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,11 +90,27 @@
 	out     *PeerTransport
 }
 
+// nodePort is below the range that the kernel gives to outgoing connections.
+const nodePort = "7000"
+
+// nodes counts the nodes of this process; network and subnet are where its
+// addresses begin, drawn so that two processes at once do not meet.
+var (
+	nodes   atomic.Uint32
+	network = 10 + rand.Uint32N(200)
+	subnet  = rand.Uint32N(250)
+)
+
+// ownAddress returns a loopback address that no other node has, so that its port
+// cannot be taken while the node is stopped.
+func ownAddress() string {
+	n := nodes.Add(1)
+	host := fmt.Sprintf("127.%d.%d.%d", network, (subnet+n/250)%250, 1+n%250)
+	return net.JoinHostPort(host, nodePort)
+}
+
 func newNode(tb testing.TB, name, folder string, change func(*Config)) *node {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(tb, err)
-	address := l.Addr().String()
-	l.Close()
+	address := ownAddress()
 	log, err := os.Create(filepath.Join(tb.TempDir(), name+".log"))
 	assert.NilError(tb, err)
 	cfg := Config{
