--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -124,7 +124,7 @@
 	if len(body) > maxResponseBytes {
 		return sendResult{outcome: sqattempt.Broken, reason: "the answer is too long", reached: true}, false
 	}
-	response := &bufferedResponse{status: reply.Status(), header: reply.Header(), body: body}
+	response := &bufferedResponse{status: reply.Status(), header: reply.Header(), body: body, framing: reply.Framing()}
 	if response.status >= http.StatusInternalServerError || x.stream != nil {
 		return sendResult{outcome: sqattempt.Failed, reason: "the endpoint answered " + http.StatusText(response.status),
 			response: response, reached: true}, false
@@ -151,7 +151,7 @@
 		return
 	}
 	x.clearWriteDeadline()
-	x.recordAnswered(response.status)
+	x.recordAnswered(response.status, response.framing, 0)
 }
 
 // impliesNotRun reports whether a caller takes the status to mean that the request
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -8,6 +8,7 @@
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqlink"
 )
 
 // reasonStale is the logged reason for refusals after the freshness lease has
@@ -114,6 +115,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// framing is how the endpoint marked the end of the body.
+	framing sqlink.Framing
 }
 
 // sendOnce sends the request to one endpoint, after a remote prefill if the choice
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -110,5 +110,5 @@
 	x.finishDispatch(dispatch, true, true)
 	x.clearWriteDeadline()
 	x.sends++
-	x.recordAnswered(x.stream.status)
+	x.recordAnswered(x.stream.status, reply.Framing(), len(framer.Buffered()))
 }
--- a/io/sqlink/reply.go
+++ b/io/sqlink/reply.go
@@ -27,6 +27,18 @@
 // Length returns the length of the body in bytes, or -1 if the headers do not give it.
 func (r *Response) Length() int64 { return r.res.ContentLength }
 
+// Framing returns how the end of the body is marked.
+func (r *Response) Framing() Framing {
+	switch {
+	case r.res.ContentLength >= 0:
+		return LengthFraming
+	case len(r.res.TransferEncoding) > 0:
+		return ChunkedFraming
+	default:
+		return CloseFraming
+	}
+}
+
 // Read implements io.Reader. It returns io.EOF only after the whole body; any other
 // error means that the response is incomplete.
 func (r *Response) Read(b []byte) (int, error) {
