A stream is complete only if it does not end inside an event

Cause: the gateway took the end of the response for the end of the stream. Where a response has neither a length nor chunks, the end is the end of the connection, and a crashed host closes it as normally as one that is done; relayStream then even forwarded the unfinished event. Class: an end that is inferred from the transport where the content says otherwise.

Change: core/sqframe decides whether a stream may end where it did: never inside an event, whatever the framing, and not before its first event unless the framing marks the end. Otherwise the send is broken: a resumable stream goes on at another endpoint after its last whole event, any other is aborted so that its caller can tell. 6009 names the framing. unfinishedBytes goes from 6006 again, as it could only be 0 now.

--- a/app/sqgateway/answer.go
+++ b/app/sqgateway/answer.go
@@ -117,23 +117,22 @@
 }
 
 // recordAnswered logs a request that was answered with an endpoint's response and
-// updates the metrics. UnfinishedBytes counts the bytes after the last complete
-// event of a stream.
-func (x *request) recordAnswered(status int, framing sqlink.Framing, unfinishedBytes int) {
+// updates the metrics.
+func (x *request) recordAnswered(status int, framing sqlink.Framing) {
 	now := sqclock.Now()
 	firstEventAt := now
 	if !x.firstEventAt.IsZero() {
 		firstEventAt = x.firstEventAt
 	}
 	x.g.metrics.answered.Inc()
-	if framing == sqlink.CloseFraming {
+	if !framing.MarksEnd() {
 		x.g.metrics.closeFramed.Inc()
 	}
 	x.g.metrics.firstEventSeconds.Update(firstEventAt.Sub(x.receivedAt).Seconds())
 	x.g.metrics.requestSeconds.Update(now.Sub(x.receivedAt).Seconds())
 	x.g.log.Event(sqevent.RequestDone, x.attempt.ID, x.routeName(), x.team, x.lastEndpoint, x.lastPrefillEndpoint,
 		x.sends, status, firstEventAt.Sub(x.receivedAt).Milliseconds(), now.Sub(x.receivedAt).Milliseconds(),
-		x.expectedLatency.Milliseconds(), x.tableVersion(), framing.String(), unfinishedBytes)
+		x.expectedLatency.Milliseconds(), x.tableVersion(), framing.String())
 }
 
 func (x *request) routeName() string {
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -151,7 +151,7 @@
 		return
 	}
 	x.clearWriteDeadline()
-	x.recordAnswered(response.status, response.framing, 0)
+	x.recordAnswered(response.status, response.framing)
 }
 
 // impliesNotRun reports whether a caller takes the status to mean that the request
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -41,7 +41,8 @@
 
 // relayStream forwards events as they arrive. It forwards whole events only, so
 // that a stream that breaks off in the middle of an event can be resumed with that
-// event on another endpoint. The results are those of exchange.
+// event on another endpoint. The end of the response is the end of the stream only
+// if no event is left unfinished. The results are those of exchange.
 func (x *request) relayStream(reply *sqlink.Response, dispatch *sqplace.Dispatch) (sendResult, bool) {
 	var framer sqframe.Framer
 	if x.stream != nil {
@@ -51,9 +52,6 @@
 	for {
 		n, err := reply.Read(buf)
 		events := framer.Push(buf[:n])
-		if errors.Is(err, io.EOF) && !framer.Invalid() {
-			events = append(events, framer.Buffered()...)
-		}
 		if len(events) > 0 {
 			x.recordFirstEvent(dispatch)
 			if !x.writeEvents(reply, framer, events) {
@@ -65,6 +63,9 @@
 		switch {
 		case framer.Invalid():
 			return sendResult{outcome: sqattempt.Broken, reason: "an event is too long or out of order", reached: true}, false
+		case errors.Is(err, io.EOF) && !framer.CompleteAtEnd(reply.Framing().MarksEnd()):
+			return sendResult{outcome: sqattempt.Broken, reason: "the stream ended inside an event or before its first one, framing " +
+				reply.Framing().String(), reached: true}, false
 		case errors.Is(err, io.EOF):
 			x.finishStream(reply, dispatch, framer)
 			return sendResult{}, true
@@ -110,5 +111,5 @@
 	x.finishDispatch(dispatch, true, true)
 	x.clearWriteDeadline()
 	x.sends++
-	x.recordAnswered(x.stream.status, reply.Framing(), len(framer.Buffered()))
+	x.recordAnswered(x.stream.status, reply.Framing())
 }
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -8,7 +8,7 @@
 	TableInForce        = Event{6003, Info, "routing table in force", []string{"version"}}
 	TableUnreadable     = Event{6004, Error, "routing table of the holder cannot be used", []string{"version", "error"}}
 	EndpointListInForce = Event{6005, Info, "list of endpoints in force", []string{"revision", "endpoints"}}
-	RequestDone         = Event{6006, Info, "request answered", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "firstMillis", "totalMillis", "expectedMillis", "version", "framing", "unfinishedBytes"}}
+	RequestDone         = Event{6006, Info, "request answered", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "firstMillis", "totalMillis", "expectedMillis", "version", "framing"}}
 	RequestRefused      = Event{6007, Info, "request refused, not run", []string{"request", "route", "team", "status", "reason", "retryAfterMillis", "ageMillis", "version"}}
 	RequestFailed       = Event{6008, Warn, "request failed", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "reason", "totalMillis", "version"}}
 	SendFailed          = Event{6009, Info, "send to an endpoint failed", []string{"request", "endpoint", "outcome", "next", "afterMillis", "reason"}}
--- a/core/sqframe/sqframe.go
+++ b/core/sqframe/sqframe.go
@@ -19,6 +19,8 @@
 	lastID string
 	// invalid is true once an event was out of order.
 	invalid bool
+	// hasEvent is true once an event was complete.
+	hasEvent bool
 }
 
 // ResumeAfter empties the buffer and makes the framer expect events after the one
@@ -42,6 +44,7 @@
 			break
 		}
 		end += n
+		f.hasEvent = true
 	}
 	complete := bytes.Clone(f.buf[:end])
 	f.buf = append(f.buf[:0], f.buf[end:]...)
@@ -58,6 +61,14 @@
 // Buffered returns the bytes after the last complete event.
 func (f *Framer) Buffered() []byte { return f.buf }
 
+// CompleteAtEnd reports whether a stream that ends after the bytes pushed so far is
+// complete. No stream ends inside an event. EndMarked tells whether the transport
+// marks the end, as a length or a last chunk does; otherwise a stream without any
+// event has broken off before its first one.
+func (f *Framer) CompleteAtEnd(endMarked bool) bool {
+	return len(f.buf) == 0 && !f.invalid && (endMarked || f.hasEvent)
+}
+
 // accept records the event's ID and returns true, unless the event is out of order:
 // both its ID and the last one are numbers, and its ID is not higher.
 func (f *Framer) accept(event []byte) bool {
--- a/core/sqframe/sqframe_test.go
+++ b/core/sqframe/sqframe_test.go
@@ -67,3 +67,14 @@
 		assert.Assert(t, bytes.Equal(out, data))
 	})
 }
+
+// TestCompleteAtEnd checks at which bytes a stream may end.
+func TestCompleteAtEnd(t *testing.T) {
+	for i := range len(threeEvents) + 1 {
+		var f Framer
+		complete := f.Push([]byte(threeEvents[:i]))
+		betweenEvents := len(complete) == i
+		assert.Equal(t, f.CompleteAtEnd(true), betweenEvents, "%d bytes", i)
+		assert.Equal(t, f.CompleteAtEnd(false), betweenEvents && i > 0, "%d bytes", i)
+	}
+}
--- a/io/sqlink/framing.go
+++ b/io/sqlink/framing.go
@@ -13,5 +13,8 @@
 	CloseFraming
 )
 
+// MarksEnd reports whether a complete body can be told from one that broke off.
+func (f Framing) MarksEnd() bool { return f != CloseFraming }
+
 // String returns the framing's name in logs.
 func (f Framing) String() string { return [...]string{"length", "chunked", "close"}[f] }
