A stream that breaks off is reset for callers that do not know chunks

What callers see: an HTTP/1.0 caller gets a stream without chunks, ended by its connection. Change: the connection of such a caller is reset; 6015 if that fails.

--- a/app/sqgateway/answer.go
+++ b/app/sqgateway/answer.go
@@ -1,6 +1,7 @@
 package sqgateway
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -63,9 +64,27 @@
 // caller does not mistake the stream for a complete one.
 func (x *request) abortStream(reason string) {
 	x.logFailure(x.stream.status, reason)
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.resetCallerConnection()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetCallerConnection resets the connection to a caller that does not know chunks.
+// To such a caller a closed connection is the end of a complete response.
+func (x *request) resetCallerConnection() {
+	c, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		x.g.log.Event(sqevent.CallerNotReset, x.attempt.ID, err.Error())
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// The connection may be closed already, and then there is nothing to reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // writeEmptyResponse writes a response of the gateway itself, without a body.
 func (x *request) writeEmptyResponse(status int) {
 	h := x.w.Header()
--- a/app/sqgateway/brokenstream_test.go
+++ b/app/sqgateway/brokenstream_test.go
@@ -1,11 +1,14 @@
 package sqgateway
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -85,6 +88,18 @@
 	assert.Equal(t, res.StatusCode, http.StatusBadGateway)
 }
 
+func TestAbortedStreamEndsAsCompleteForHTTP10(t *testing.T) {
+	e := newFakeEndpoint(t, closeFramedHandler(cutInsideEvent))
+	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
+	c, err := net.Dial("tcp", s.callerServer.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /quick/x HTTP/1.0\r\nHost: h.example\r\nX-Key: key\r\nX-Attempt: a1\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(c)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
+
 // TestBrokenStreamIsLogged checks that the log tells how a stream's end was marked.
 func TestBrokenStreamIsLogged(t *testing.T) {
 	e := newFakeEndpoint(t, closeFramedHandler(eventsAfter))
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -17,10 +17,11 @@
 	GatewayGraceExpired = Event{6012, Warn, "stop grace period ended with requests still running", []string{"running"}}
 	PrefillFailed       = Event{6013, Info, "prefill on another endpoint failed", []string{"request", "endpoint", "afterMillis", "reason"}}
 	WaitedForHolder     = Event{6014, Info, "request waited for the lease holder after the gateway started", []string{"request", "waitedMillis", "heard"}}
+	CallerNotReset      = Event{6015, Error, "connection of an aborted response could not be reset", []string{"request", "error"}}
 )
 
 var gatewayEvents = []Event{
 	GatewayLeaseGained, GatewayLeaseLost, HolderPollFailed, TableInForce, TableUnreadable, EndpointListInForce,
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
-	PrefillFailed, WaitedForHolder,
+	PrefillFailed, WaitedForHolder, CallerNotReset,
 }
