--- a/app/sqoperator/trace.go
+++ b/app/sqoperator/trace.go
@@ -27,7 +27,7 @@
 	if len(c.args) == 0 {
 		return c.usageError("the identity of a request is missing")
 	}
-	data, err := c.readLogs(c.args[1:])
+	data, err := c.readLogs(c.args[1:], maxLogBytes)
 	if err != nil {
 		return err
 	}
@@ -63,25 +63,41 @@
 	return nil
 }
 
-// readLogs returns the contents of files, or of standard input if there are none.
-func (c *invocation) readLogs(paths []string) ([]byte, error) {
+// readLogs returns the contents of files, or of standard input if there are none. It
+// fails with Refused if these are longer than limit, in bytes.
+func (c *invocation) readLogs(paths []string, limit int64) ([]byte, error) {
 	if len(paths) == 0 {
-		return io.ReadAll(io.LimitReader(c.stdin, maxLogBytes))
+		logs, err := io.ReadAll(io.LimitReader(c.stdin, limit+1))
+		if err != nil {
+			return nil, logUnreadable(err)
+		}
+		return logs, checkLogSize(logs, limit)
 	}
 	var logs []byte
 	for _, path := range paths {
 		data, err := os.ReadFile(path)
 		if err != nil {
-			return nil, sqerror.New(sqerror.Config{Kind: sqerror.NotFound, Detail: "the log cannot be read", Cause: err})
+			return nil, logUnreadable(err)
 		}
 		logs = append(append(logs, data...), '\n')
-		if len(logs) > maxLogBytes {
-			return nil, sqerror.New(sqerror.Config{Kind: sqerror.Refused, Detail: "the logs are too large", Advice: "give only the minutes around the request"})
+		if err := checkLogSize(logs, limit); err != nil {
+			return nil, err
 		}
 	}
 	return logs, nil
 }
 
+func logUnreadable(err error) error {
+	return sqerror.New(sqerror.Config{Kind: sqerror.NotFound, Detail: "the log cannot be read", Cause: err})
+}
+
+func checkLogSize(logs []byte, limit int64) error {
+	if int64(len(logs)) <= limit {
+		return nil
+	}
+	return sqerror.New(sqerror.Config{Kind: sqerror.Refused, Detail: "the logs are too large", Advice: "give only the minutes around the request"})
+}
+
 func lineTexts(lines []sqtrace.Line) []string {
 	result := make([]string, 0, len(lines))
 	for i := range lines {
