6009 says which parts a prompt shares and whether events had come

Change: 6009 has the fields events and parts. Measured: tests of core, core/sqevent, core/sqframe, core/sqattempt, core/sqtrace and app/sqgateway pass.

--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -108,6 +108,8 @@
 	response *bufferedResponse
 	// reached is false if no connection to the endpoint could be made.
 	reached bool
+	// delivered is set if the send delivered at least one event of a stream.
+	delivered bool
 }
 
 // bufferedResponse is a complete response of an endpoint.
@@ -209,7 +211,7 @@
 		step = sqattempt.GiveUp
 	}
 	x.g.log.Event(sqevent.SendFailed, x.attempt.ID, e.ID(), res.outcome.String(), step.String(),
-		now.Sub(sentAt).Milliseconds(), res.reason)
+		now.Sub(sentAt).Milliseconds(), res.reason, res.delivered, x.attempt.Prompt.SharedParts())
 	if step == sqattempt.Resend {
 		x.g.metrics.resends.Inc()
 		return false
--- a/core/sqattempt/sqattempt.go
+++ b/core/sqattempt/sqattempt.go
@@ -31,6 +31,16 @@
 	Parts []Part
 }
 
+// SharedParts returns the IDs of the parts that other requests may share. They may
+// name a part more than once.
+func (p *Prompt) SharedParts() []string {
+	ids := make([]string, 0, len(p.Parts))
+	for i := 0; i+1 < len(p.Parts); i++ {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return ids
+}
+
 // Part is a part of a prompt that the prompts of other requests may share.
 type Part struct {
 	ID     string
