Parts of prompts that crash endpoints are quarantined at all gateways

Every request in flight at these engines broke off.

Cause: a crash counted as a fault of the endpoint alone. What its requests held was forgotten, so each gateway sent the next request with the part to the next engine; and each gateway knew only its own crashes. Class of fault: the cause of a failure is looked for in the place where it shows, and a limit that every gateway keeps by itself.

Change: a gateway reports endpoints that end a connection before the first event and then refuse connections, with the parts that such requests share, and when suspected parts were last answered in full. The lease holder joins this (core/sqquarantine): a part is harmful if three endpoints crashed under it, at different times, and no request with it was answered since while others were. It commits the part, so that it outlasts the holder and a restart of all processes, and every gateway refuses requests with it before they reach an endpoint. An answer in full releases a part; a term ends after five minutes, and the next one, which a single crash begins, is twice as long. Keys, routes and other parts stay served.

Tests of core, io and app pass.

--- a/app/sqcoordinator/beat.go
+++ b/app/sqcoordinator/beat.go
@@ -104,6 +104,7 @@
 	c.recordBeat(now, t, req)
 	c.fillBeatResponse(now, t, req, res)
 	t.promptReads.exchange(req, res)
+	c.exchangeEvidence(now, t, req, res)
 	c.mu.Unlock()
 	if err := c.checkLease(t); err != nil {
 		return nil, sqrpc.ToTwirp(err)
--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -20,6 +20,7 @@
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqquarantine"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqguard"
 	"sequoiadock/io/sqhttp"
@@ -109,6 +110,9 @@
 	// seeds points to the seeds of the settings in force.
 	seeds atomic.Pointer[[]string]
 
+	// quarantineDecisions passes decisions to commitQuarantines.
+	quarantineDecisions chan sqquarantine.Decision
+
 	mu        sync.Mutex
 	termState *termState
 }
@@ -133,7 +137,7 @@
 	c := &coordinator{
 		cfg: cfg, stateMachine: sqmachine.New(), locator: sqlocate.New(cfg.Seeds), log: cfg.Log,
 		client:  sqhttp.NewClient(callTimeout),
-		metrics: metrics.NewSet(),
+		metrics: metrics.NewSet(), quarantineDecisions: make(chan sqquarantine.Decision, 1),
 	}
 	c.seeds.Store(&cfg.Seeds)
 	c.registerGauges()
@@ -188,7 +192,7 @@
 		}
 	})
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.bootstrap, c.announce, c.updateMembers, c.pollEndpoints, c.reportUsage, c.manageCapacity, c.logLoads, c.updateSeeds} {
+	for _, loop := range []func(context.Context){c.bootstrap, c.announce, c.updateMembers, c.pollEndpoints, c.reportUsage, c.manageCapacity, c.logLoads, c.updateSeeds, c.commitQuarantines} {
 		loops.Go(func() { loop(ctx) })
 	}
 	c.log.Event(sqevent.Started, roleName, c.cfg.Name, c.cfg.Zone, internalListener.Addr().String())
--- a/app/sqcoordinator/holder.go
+++ b/app/sqcoordinator/holder.go
@@ -13,6 +13,7 @@
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqoffset"
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqquorum"
 	"sequoiadock/core/sqstate"
 	"sequoiadock/core/sqwindow"
@@ -48,6 +49,7 @@
 	usageFenced bool
 	orders      orderState
 	promptReads promptReadLog
+	quarantine  *sqquarantine.Tracker
 }
 
 func newTermState(now time.Time, term uint64, billingWindow time.Duration) *termState {
@@ -55,6 +57,7 @@
 		term: term, startedAt: now, announcements: map[uint64]sqquorum.Candidate{}, gateways: map[string]*gateway{},
 		requestCounts: sqwindow.NewCollector(now, billingWindow), clockOffsets: sqoffset.New(), fleetRevision: term << counterBits,
 		orders: newOrderState(), promptReads: newPromptReadLog(term),
+		quarantine: sqquarantine.NewTracker(),
 	}
 }
 
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -9,6 +9,7 @@
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqendpoint"
 	"sequoiadock/io/sqlink"
 )
 
@@ -63,7 +64,7 @@
 	case sqerror.Overloaded:
 		return sendResult{outcome: sqattempt.Unsent, reason: err.Error(), reached: true}
 	default:
-		return sendResult{outcome: sqattempt.Broken, reason: err.Error(), reached: true}
+		return sendResult{outcome: sqattempt.Broken, reason: err.Error(), reached: true, connectionLost: sqendpoint.ConnectionLost(err)}
 	}
 }
 
@@ -131,6 +132,7 @@
 	}
 	x.countForBilling()
 	x.finishDispatch(dispatch, true, true)
+	x.recordAnswer(sqclock.Now())
 	x.sends++
 	x.writeResponse(response)
 	return sendResult{}, true
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -20,6 +20,7 @@
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/core/sqwindow"
 	"sequoiadock/io/sqclock"
@@ -106,6 +107,7 @@
 	placer          *sqplace.Placer
 	retryBudget     *sqretry.Budget
 	billingCounter  *sqwindow.Counter
+	evidence        *sqquarantine.Evidence
 	demandByService map[string]*demand
 	// unsentCacheUpdates holds the cache updates of this gateway that no lease holder
 	// has acknowledged. lastSeenCacheUpdate is the number of the last update that
@@ -137,6 +139,7 @@
 		placer:            sqplace.New(sqplace.Config{Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:])}),
 		retryBudget:       sqretry.New(sqclock.Now(), cfg.Retry),
 		billingCounter:    sqwindow.NewCounter(cfg.BillingWindow),
+		evidence:          sqquarantine.NewEvidence(sqclock.Now()),
 		demandByService:   map[string]*demand{},
 	}
 	g.startedAt = sqclock.Now()
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -14,8 +14,8 @@
 	set     *metrics.Set
 	running atomic.Int64
 
-	answered, refused, failed, disconnected, resends, closeFramed *metrics.Counter
-	firstEventSeconds, requestSeconds                             *metrics.Histogram
+	answered, refused, failed, disconnected, resends, closeFramed, quarantined *metrics.Counter
+	firstEventSeconds, requestSeconds                                          *metrics.Histogram
 }
 
 func newGatewayMetrics(g *gateway) *gatewayMetrics {
@@ -27,6 +27,7 @@
 		failed:            set.NewCounter(`sequoiadock_gateway_requests{outcome="failed"}`),
 		disconnected:      set.NewCounter(`sequoiadock_gateway_requests{outcome="left"}`),
 		resends:           set.NewCounter("sequoiadock_gateway_resends"),
+		quarantined:       set.NewCounter("sequoiadock_gateway_quarantined_requests"),
 		closeFramed:       set.NewCounter("sequoiadock_gateway_close_framed_responses"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -12,6 +12,7 @@
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqendpoint"
 	"sequoiadock/io/sqlink"
 )
 
@@ -65,6 +66,9 @@
 	x.g.log.Event(sqevent.PrefillFailed, x.attempt.ID, choice.PrefillEndpoint.ID(), now.Sub(x.receivedAt).Milliseconds(),
 		err.Error())
 	x.noRemotePrefill = true
+	if x.ctx.Err() == nil && sqendpoint.ConnectionLost(err) {
+		x.recordLostConnection(now, choice.PrefillEndpoint)
+	}
 	if x.ctx.Err() != nil {
 		x.finishUnanswered(sqattempt.GiveUp, "the deadline passed while the prompt was read", 0)
 		return true
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -18,6 +18,9 @@
 // dispatch sends the request to one endpoint after another until the caller has a
 // final response.
 func (x *request) dispatch() {
+	if x.refuseQuarantined(x.receivedAt) {
+		return
+	}
 	x.g.mu.Lock()
 	x.g.retryBudget.RecordRequest(x.receivedAt, x.service)
 	x.g.demandFor(x.service).requests++
@@ -28,6 +31,9 @@
 			x.finishUnanswered(x.stepWithoutEndpoint(now), reasonStale, v.retryAfter(now))
 			return
 		}
+		if x.refuseQuarantined(now) {
+			return
+		}
 		choice := x.choose(now)
 		if choice.Endpoint == nil {
 			x.finishUnanswered(x.stepWithoutEndpoint(now), choice.Reason, choice.RetryAfter)
@@ -110,6 +116,9 @@
 	reached bool
 	// delivered is set if the send delivered at least one event of a stream.
 	delivered bool
+	// connectionLost is set if the endpoint ended the connection before its response was
+	// complete.
+	connectionLost bool
 }
 
 // bufferedResponse is a complete response of an endpoint.
@@ -138,6 +147,10 @@
 		x.finishUnanswered(x.stepWithoutEndpoint(now), reasonStale, v.retryAfter(now))
 		return true
 	}
+	if x.refuseQuarantined(now) {
+		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
+		return true
+	}
 	decode := x.chooseDecode(now)
 	if decode.Endpoint == nil {
 		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
@@ -198,6 +211,9 @@
 		x.sends++
 	}
 	x.triedEndpoints = append(x.triedEndpoints, e.ID())
+	if res.connectionLost && !res.delivered {
+		x.recordLostConnection(now, e)
+	}
 	state := sqattempt.State{
 		Outcome: res.outcome, Retryable: x.route.Retryable(), MayHaveRun: x.mayHaveRun, Sends: x.sends,
 		MaxSends: x.route.MaxSends(), TimeLeft: x.timeLeft(now), HasBudget: true, HasAlternative: true,
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -71,7 +71,7 @@
 			return sendResult{outcome: sqattempt.Broken, reason: "an event is too long or out of order", reached: true}, false
 		case errors.Is(err, io.EOF) && !framer.CompleteAtEnd(reply.Framing().MarksEnd()):
 			return sendResult{outcome: sqattempt.Broken, reason: "the stream ended inside an event or before its first one, framing " +
-				reply.Framing().String(), reached: true}, false
+				reply.Framing().String(), reached: true, connectionLost: !reply.Framing().MarksEnd()}, false
 		case errors.Is(err, io.EOF):
 			x.finishStream(reply, dispatch, *framer)
 			return sendResult{}, true
@@ -115,6 +115,7 @@
 		x.writeEvents(reply, framer, nil)
 	}
 	x.finishDispatch(dispatch, true, true)
+	x.recordAnswer(sqclock.Now())
 	x.clearWriteDeadline()
 	x.sends++
 	x.recordAnswered(x.stream.status, reply.Framing())
--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -6,6 +6,7 @@
 
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqtable"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqrpc"
@@ -47,6 +48,10 @@
 	// clockOffset is the true time minus sqclock.Now.
 	clockOffset time.Duration
 	leaseHolder string
+	// suspects are the parts of prompts about whose answers the gateway reports, and
+	// quarantines those with which it sends no request, with the end of the term.
+	suspects    []sqquarantine.Part
+	quarantines map[sqquarantine.Part]time.Time
 }
 
 // fresh reports whether the gateway may act on the view: there is a routing table
@@ -166,6 +171,7 @@
 	}
 	g.unsentCacheUpdates = g.unsentCacheUpdates[max(0, len(g.unsentCacheUpdates)-maxUnsentCacheUpdates):]
 	req.Reads, req.ReadsSeen = g.unsentCacheUpdates, g.lastSeenCacheUpdate
+	g.addEvidence(sqclock.Now(), v, req)
 	for service, d := range g.demandByService {
 		req.Demand = append(req.Demand, d.toProto(service))
 	}
@@ -187,6 +193,7 @@
 		return
 	}
 	g.applyFleet(&v, res)
+	g.applyQuarantines(receivedAt, &v, res)
 	v.freshUntil = sentAt.Add(time.Duration(res.GetFreshMillis()) * time.Millisecond)
 	v.lastHeardAt = receivedAt
 	v.gateways = res.GetGateways()
@@ -202,6 +209,7 @@
 	g.mu.Lock()
 	g.retryBudget.SetGateways(v.gatewayCount)
 	g.placer.SetPeerLoads(loadsByEndpoint(res.GetOthers()))
+	g.evidence.Acknowledge(receivedAt, old.leaseHolder, res.GetHolder())
 	g.mu.Unlock()
 	g.view.Store(&v)
 	if v.table != nil && v.fleetRevision != 0 {
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -19,6 +19,8 @@
 	StageOrdered              = Event{5014, Info, "stage of an engine ordered", []string{"endpoint", "stage", "reason"}}
 	DiskReopening             = Event{5016, Error, "disk failed, will be reopened", []string{"error", "pauseMillis"}}
 	InitialEndpointsCommitted = Event{5018, Info, "first fleet of a service committed", []string{"service", "endpoints"}}
+	PartQuarantined           = Event{5019, Warn, "part of prompts quarantined, endpoints crashed under it", []string{"service", "part", "times", "termMillis"}}
+	PartReleased              = Event{5020, Info, "part of prompts released, a request with it was answered", []string{"service", "part"}}
 	ServiceLoad               = Event{5017, Info, "service load", []string{"service", "stage", "endpoints", "away", "running", "unreadTokens"}}
 	StageRefused              = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
@@ -26,5 +28,5 @@
 var coordinatorEvents = []Event{
 	BootstrapFailed, MemberChanged, MemberChangeFailed, TableCommitted, TableRefused, TableNotCommitted,
 	GatewayFound, GatewayLeaving, GatewayLost, EndpointListChanged, EndpointListFailed, EndpointListRecovered,
-	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted,
+	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, PartQuarantined, PartReleased,
 }
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -18,10 +18,12 @@
 	PrefillFailed       = Event{6013, Info, "prefill on another endpoint failed", []string{"request", "endpoint", "afterMillis", "reason"}}
 	WaitedForHolder     = Event{6014, Info, "request waited for the lease holder after the gateway started", []string{"request", "waitedMillis", "heard"}}
 	CallerNotReset      = Event{6015, Error, "connection of an aborted response could not be reset", []string{"request", "error"}}
+	EndpointCrashed     = Event{6016, Warn, "endpoint crashed with requests in flight", []string{"endpoint", "service"}}
+	QuarantineInForce   = Event{6017, Warn, "requests with a part of prompts are refused", []string{"service", "part", "leftMillis"}}
 )
 
 var gatewayEvents = []Event{
 	GatewayLeaseGained, GatewayLeaseLost, HolderPollFailed, TableInForce, TableUnreadable, EndpointListInForce,
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
-	PrefillFailed, WaitedForHolder, CallerNotReset,
+	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
 }
--- /dev/null
+++ b/core/sqquarantine/evidence.go
@@ -0,0 +1,121 @@
+package sqquarantine
+
+import "time"
+
+const (
+	// answerMemory is how long Evidence knows at least when a part was last answered.
+	answerMemory = 10 * time.Second
+	// maxReports is how many crashes Evidence keeps, and maxRequestsPerCrash how many
+	// requests of one.
+	maxReports          = 32
+	maxRequestsPerCrash = 32
+)
+
+// Evidence is what one gateway has seen. It is not safe for concurrent use.
+type Evidence struct {
+	// recent and older hold the time of each part's last answer. Each answerMemory,
+	// recent becomes older.
+	recent, older map[Part]time.Time
+	recentSince   time.Time
+	// crashes are the confirmed crashes, oldest first. suspected are those whose
+	// endpoint is being checked, by endpoint ID.
+	crashes   []*report
+	suspected map[string]*Crash
+}
+
+// report is a crash and what the lease holder knows of it.
+type report struct {
+	crash *Crash
+	// sentRequests is how many of the crash's requests were in the last heartbeat that
+	// contained it, and acknowledgedBy the holder that knows the whole crash, or "".
+	sentRequests   int
+	acknowledgedBy string
+}
+
+// NewEvidence returns the evidence of a gateway that starts at now.
+func NewEvidence(now time.Time) *Evidence {
+	return &Evidence{recent: map[Part]time.Time{}, older: map[Part]time.Time{}, recentSince: now, suspected: map[string]*Crash{}}
+}
+
+// RecordAnswer records that a request was answered in full.
+func (e *Evidence) RecordAnswer(now time.Time, service string, parts []string) {
+	if now.Sub(e.recentSince) >= answerMemory {
+		e.older, e.recent, e.recentSince = e.recent, map[Part]time.Time{}, now
+	}
+	e.recent[anyPart(service)] = now
+	for _, id := range parts {
+		e.recent[Part{Service: service, ID: id}] = now
+	}
+}
+
+// LastAnswer returns when a request with the part was last answered in full, or the
+// zero time if that is not known.
+func (e *Evidence) LastAnswer(p Part) time.Time {
+	if at, ok := e.recent[p]; ok {
+		return at
+	}
+	return e.older[p]
+}
+
+// RecordBroken records a request whose endpoint ended the connection before the first
+// event. It returns true if the caller must check whether the endpoint has crashed and
+// call RecordCheck.
+func (e *Evidence) RecordBroken(now time.Time, service, endpoint string, parts []string) bool {
+	if c := e.suspected[endpoint]; c != nil {
+		c.add(parts)
+		return false
+	}
+	for _, r := range e.crashes {
+		if r.crash.sameCrash(endpoint, now) {
+			r.crash.add(parts)
+			r.acknowledgedBy = ""
+			return false
+		}
+	}
+	e.suspected[endpoint] = &Crash{Service: service, Endpoint: endpoint, At: now, Requests: [][]string{parts}}
+	return true
+}
+
+func (c *Crash) add(parts []string) {
+	if len(c.Requests) < maxRequestsPerCrash {
+		c.Requests = append(c.Requests, parts)
+	}
+}
+
+// RecordCheck records whether the endpoint has crashed.
+func (e *Evidence) RecordCheck(endpoint string, crashed bool) {
+	c := e.suspected[endpoint]
+	delete(e.suspected, endpoint)
+	if c == nil || !crashed {
+		return
+	}
+	e.crashes = append(e.crashes, &report{crash: c})
+	e.crashes = e.crashes[max(0, len(e.crashes)-maxReports):]
+}
+
+// Unacknowledged returns the crashes that the lease holder does not know in full. The
+// caller must not change them.
+func (e *Evidence) Unacknowledged(holder string) []*Crash {
+	var crashes []*Crash
+	for _, r := range e.crashes {
+		if r.acknowledgedBy == "" || r.acknowledgedBy != holder {
+			r.sentRequests = len(r.crash.Requests)
+			crashes = append(crashes, r.crash)
+		}
+	}
+	return crashes
+}
+
+// Acknowledge records that the holder has received what Unacknowledged returned last,
+// and drops crashes that are older than crashMemory.
+func (e *Evidence) Acknowledge(now time.Time, previousHolder, holder string) {
+	for _, r := range e.crashes {
+		sent := r.acknowledgedBy == "" || r.acknowledgedBy != previousHolder
+		if sent && r.sentRequests == len(r.crash.Requests) {
+			r.acknowledgedBy = holder
+		}
+	}
+	for len(e.crashes) > 0 && now.Sub(e.crashes[0].crash.At) > crashMemory {
+		e.crashes = e.crashes[1:]
+	}
+}
--- a/core/sqstate/state.go
+++ b/core/sqstate/state.go
@@ -64,6 +64,8 @@
 	// initialEndpoints maps each service to the number of endpoints it had
 	// before any were ordered.
 	initialEndpoints map[string]uint32
+	// quarantined is sorted by the end of the term, ascending.
+	quarantined []*sqcommand.QuarantinedPart
 }
 
 // New returns the empty state of a new deployment.
@@ -100,7 +102,7 @@
 	s.draining = make(map[string]bool)
 	s.entries = make(map[string]bool)
 	s.tableVersion, s.tableDocument, s.countWindows = 0, nil, nil
-	s.initialEndpoints = map[string]uint32{}
+	s.initialEndpoints, s.quarantined = map[string]uint32{}, nil
 }
 
 // Version returns the version of the current configuration, or 0 if none has
@@ -165,6 +167,8 @@
 		return s.markCounts(b.MarkCounts)
 	case *sqcommand.Command_FixFirstFleet:
 		return s.fixFirstFleet(b.FixFirstFleet.GetFleet())
+	case *sqcommand.Command_SetQuarantine:
+		return s.setQuarantine(b.SetQuarantine)
 	default:
 		// A newer version may write commands that this version does not know.
 		// All replicas of one version ignore such a command alike, and the
--- a/core/sqstate/table.go
+++ b/core/sqstate/table.go
@@ -113,4 +113,7 @@
 	for _, f := range in.GetFirstFleets() {
 		s.initialEndpoints[f.GetService()] = f.GetEndpoints()
 	}
+	for _, p := range in.GetQuarantinedParts() {
+		s.quarantined = append(s.quarantined, proto.CloneOf(p))
+	}
 }
--- a/core/sqstate/table_test.go
+++ b/core/sqstate/table_test.go
@@ -1,6 +1,7 @@
 package sqstate
 
 import (
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -87,3 +88,32 @@
 	s.Apply(freezeCounts(3*maxCountWindows+1, 1))
 	assert.Equal(t, s.CountWindows()[0].GetWindow(), uint64(2))
 }
+
+// TestQuarantinedParts checks that the latest record of a part is kept, also after a
+// restore from a snapshot, and that the number of parts is limited.
+func TestQuarantinedParts(t *testing.T) {
+	s := New(Config{})
+	set := func(id string, until int64, remove bool) {
+		s.Apply(&sqcommand.Command{Body: &sqcommand.Command_SetQuarantine{SetQuarantine: &sqcommand.SetQuarantine{
+			Part: &sqcommand.QuarantinedPart{Service: "engines", Id: id, UntilUnixNano: until}, Remove: remove,
+		}}})
+	}
+	set("a", 5, false)
+	set("b", 3, false)
+	set("a", 7, false)
+	restored := New(Config{})
+	restored.Restore(s.Snapshot())
+	for _, st := range []*State{s, restored} {
+		parts := st.QuarantinedParts()
+		assert.Equal(t, len(parts), 2)
+		assert.Equal(t, parts[0].GetId(), "b")
+		assert.Equal(t, parts[1].GetUntilUnixNano(), int64(7))
+	}
+	set("b", 0, true)
+	assert.Equal(t, len(s.QuarantinedParts()), 1)
+	for i := range 2 * maxQuarantinedParts {
+		set(strconv.Itoa(i), int64(100+i), false)
+	}
+	assert.Equal(t, len(s.QuarantinedParts()), maxQuarantinedParts)
+	assert.Equal(t, s.QuarantinedParts()[0].GetUntilUnixNano(), int64(100+maxQuarantinedParts))
+}
--- a/io/sqlink/sqlink.go
+++ b/io/sqlink/sqlink.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -170,6 +172,17 @@
 	return newConn(nc), nil
 }
 
+// Refuses reports whether no process listens at the address. It opens a connection
+// outside the pool and closes it at once.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = nc.Close()
+	return false
+}
+
 // discard closes a connection and releases its slot.
 func (p *Pool) discard(endpoint string, c *conn) {
 	_ = c.nc.Close()
