Two parts that crash different endpoints are found at the same time

Cause: parts with equally many crashes waited for more of them, to be told apart, although no crash had happened under both. Change: only parts that share a crash wait. Measured: TestTwoHarmfulPartsAreFoundAtOnce; go test ./core/sqquarantine passes.

--- a/core/sqquarantine/sqquarantine_test.go
+++ b/core/sqquarantine/sqquarantine_test.go
@@ -113,6 +113,16 @@
 	assert.Equal(t, len(h.decide(9000).Quarantine), 2)
 }
 
+func TestTwoHarmfulPartsAreFoundAtOnce(t *testing.T) {
+	h := newHistory()
+	for i := range 3 {
+		h.crash(1000*i, fmt.Sprintf("e%d", i), []string{"bad"})
+		h.crash(1000*i+300, fmt.Sprintf("f%d", i), []string{"worse"})
+	}
+	h.answer(2700)
+	assert.Equal(t, len(h.decide(4000).Quarantine), 2)
+}
+
 // TestQuarantineExplainsCrashes checks that crashes under a quarantined part are no
 // evidence against others, and that a second harmful part is found after the first.
 func TestQuarantineExplainsCrashes(t *testing.T) {
--- a/core/sqquarantine/tracker.go
+++ b/core/sqquarantine/tracker.go
@@ -204,8 +204,8 @@
 }
 
 // mostHarmful returns the part with the most crashes, if these are enough, and none
-// otherwise. Of several such parts it returns all if nothing is likely to tell them
-// apart any more, and none otherwise.
+// otherwise. It returns several such parts if no crash happened under two of them, or if
+// more crashes are not likely to tell them apart.
 func (t *Tracker) mostHarmful(crashes []*Crash, former map[Part]bool) []Part {
 	var worst []Part
 	most := 0
@@ -232,12 +232,28 @@
 			}
 		}
 	}
-	if len(worst) > 1 && most < decisiveCrashes {
+	if most < decisiveCrashes && shareCrash(worst, crashes) {
 		return nil
 	}
 	return worst
 }
 
+// shareCrash reports whether an endpoint crashed under two of the parts at once.
+func shareCrash(parts []Part, crashes []*Crash) bool {
+	for _, c := range crashes {
+		n := 0
+		for _, p := range parts {
+			if c.contains(p) {
+				n++
+			}
+		}
+		if n > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // countCrashes returns how many crashes happened under the part since a request with it
 // was last answered. It returns 0 unless the service has answered other requests since:
 // a service that answers nothing has another fault.
