--- a/app/sqcoordinator/quarantine.go
+++ b/app/sqcoordinator/quarantine.go
@@ -52,6 +52,17 @@
 	return parts
 }
 
+// activeQuarantines returns how many parts are quarantined.
+func (c *coordinator) activeQuarantines(wall time.Time) int {
+	n := 0
+	for _, p := range c.quarantinedParts() {
+		if termLeft(wall, p) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // termLeft returns the time until the quarantine ends; it is not positive afterwards.
 func termLeft(wall time.Time, p *sqcommand.QuarantinedPart) time.Duration {
 	return time.Unix(0, p.GetUntilUnixNano()).Sub(wall)
--- a/core/sqtrace/advice.go
+++ b/core/sqtrace/advice.go
@@ -7,7 +7,8 @@
 	adviceAnswered = "Answered. If it was late, compare firstMillis with expectedMillis: a much longer firstMillis means that the engine had " +
 		"requests of other gateways queued before it, or is slow."
 	adviceUnavailable = "Refused, it has not run. The reason says what was missing: for a missing lease holder, look at the log lines of the gateway and the " +
-		"coordinators; for a deadline that cannot be met, look at the load of the service."
+		"coordinators; for a deadline that cannot be met, look at the load of the service; for a quarantined part of the prompt, look at the log lines of its " +
+		"quarantine and of the endpoints that crashed before."
 	adviceUnknownRouteOrKey = "Refused, it has not run: the routing table of that version has no such route or key. Look for the version that removed it."
 	adviceDeadlineExceeded  = "Ended at its deadline. Look for other lines of the same endpoint: many for it alone mean that it is unhealthy, many for all " +
 		"endpoints of the service mean that the service lacks capacity."
