--- a/core/sqcache/index.go
+++ b/core/sqcache/index.go
@@ -31,7 +31,7 @@
 // endpointState is the state of one endpoint's event stream.
 type endpointState struct {
 	hasEvents bool
-	// decay grows with each gap and each Cleared event; see doubt.go.
+	// decay grows with each gap and each Cleared event; see confidence.go.
 	decay uint32
 	// validFrom is the decay below which all copies are invalid.
 	validFrom uint32
