Gateways are asked for 30 s about the parts under which an endpoint crashed

Change: they are asked about for 30 s, and remember answers for 3 s. Tests of the gateway's side: a quarantined part reaches no endpoint, a crash is reported and a reset is not, answers to suspects are reported.

--- a/app/sqcoordinator/quarantine.go
+++ b/app/sqcoordinator/quarantine.go
@@ -33,7 +33,7 @@
 		}
 	}
 	d := t.quarantine.Decide(now, entries, len(t.gateways))
-	for _, p := range t.quarantine.Suspects(entries) {
+	for _, p := range t.quarantine.Suspects(now, entries) {
 		res.Suspects = append(res.Suspects, sqrpc.FromPart(p))
 	}
 	if len(d.Quarantine)+len(d.Release) == 0 {
--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -35,6 +35,10 @@
 	fleet             []sqplace.Endpoint
 	lastRequest       *sqrpc.BeatRequest
 	heartbeats        int
+	suspects          []*sqrpc.PromptPart
+	quarantines       []*sqrpc.Quarantine
+	// crashes collects the reported crashes.
+	crashes []*sqrpc.CrashReport
 }
 
 // Beat implements sqrpc.Coordinator.
@@ -46,9 +50,11 @@
 	}
 	h.lastRequest = req
 	h.heartbeats++
+	h.crashes = append(h.crashes, req.GetCrashes()...)
 	res := &sqrpc.BeatResponse{
 		FreshMillis: uint32(h.freshFor.Milliseconds()), TableVersion: h.version, TableDocument: h.table,
 		FleetRevision: h.revision, GatewayCount: 1, TrueUnixNano: time.Now().UnixNano(), Holder: "holder",
+		Suspects: h.suspects, Quarantines: h.quarantines,
 		Gateways: []*sqrpc.GatewayAddress{{Address: req.GetAddress(), Zone: req.GetZone()}},
 	}
 	for i := range h.fleet {
--- /dev/null
+++ b/app/sqgateway/quarantine_test.go
@@ -0,0 +1,83 @@
+package sqgateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiadock/core/sqplace"
+	"sequoiadock/io/sqrpc"
+)
+
+// callWithPart sends a request whose prompt has the shared part.
+func (s *testSystem) callWithPart(t *testing.T, part string) *http.Response {
+	t.Helper()
+	res, _, _ := s.call(t, http.MethodPost, "/quick/x", "prompt", "X-Tokens", "200", "X-Subject", part)
+	return res
+}
+
+func TestQuarantinedPartReachesEndpoint(t *testing.T) {
+	e := newFakeEndpoint(t, engineHandler(0))
+	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
+	s.holder.update(func() {
+		s.holder.quarantines = []*sqrpc.Quarantine{{Part: &sqrpc.PromptPart{Service: "engines", Id: "bad"}, LeftMillis: 60_000}}
+	})
+	waitFor(t, func() bool { return len(s.gateway.view.Load().quarantines) == 1 })
+	res := s.callWithPart(t, "bad")
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds > 50 && seconds <= 60, "%v", seconds)
+	assert.Equal(t, len(e.requests()), 0)
+	assert.Equal(t, s.callWithPart(t, "sound").StatusCode, http.StatusOK)
+	assert.Assert(t, strings.Contains(string(s.logs.bytes()), "the part bad of the prompt is quarantined"))
+	s.holder.update(func() { s.holder.quarantines = nil })
+	waitFor(t, func() bool { return len(s.gateway.view.Load().quarantines) == 0 })
+	assert.Equal(t, s.callWithPart(t, "bad").StatusCode, http.StatusOK)
+}
+
+func TestCrashIsNotReported(t *testing.T) {
+	var e *fakeEndpoint
+	e = newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		_ = e.Listener.Close()
+		resetConnection(w)
+	})
+	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
+	s.callWithPart(t, "bad")
+	var crashes []*sqrpc.CrashReport
+	waitFor(t, func() bool {
+		s.holder.update(func() { crashes = s.holder.crashes })
+		return len(crashes) > 0
+	})
+	assert.Equal(t, crashes[0].GetEndpoint(), "i1")
+	assert.DeepEqual(t, crashes[0].GetRequests()[0].GetIds(), []string{"bad"})
+}
+
+func TestResetIsReportedAsCrash(t *testing.T) {
+	e := newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request) { resetConnection(w) })
+	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
+	s.callWithPart(t, "sound")
+	var heartbeats int
+	s.holder.update(func() { heartbeats = s.holder.heartbeats })
+	waitFor(t, func() bool {
+		n := 0
+		s.holder.update(func() { n = s.holder.heartbeats })
+		return n > heartbeats+5
+	})
+	s.holder.update(func() { assert.Equal(t, len(s.holder.crashes), 0) })
+}
+
+func TestAnswerToSuspectIsNotReported(t *testing.T) {
+	e := newFakeEndpoint(t, engineHandler(0))
+	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
+	s.holder.update(func() { s.holder.suspects = []*sqrpc.PromptPart{{Service: "engines", Id: "sound"}} })
+	s.callWithPart(t, "sound")
+	waitFor(t, func() bool {
+		reported := false
+		s.holder.update(func() { reported = len(s.holder.lastRequest.GetAnswers()) == 1 })
+		return reported
+	})
+}
--- a/core/sqquarantine/evidence.go
+++ b/core/sqquarantine/evidence.go
@@ -4,7 +4,7 @@
 
 const (
 	// answerMemory is how long Evidence knows at least when a part was last answered.
-	answerMemory = 10 * time.Second
+	answerMemory = 3 * time.Second
 	// maxReports is how many crashes Evidence keeps, and maxRequestsPerCrash how many
 	// requests of one.
 	maxReports          = 32
--- a/core/sqquarantine/sqquarantine_test.go
+++ b/core/sqquarantine/sqquarantine_test.go
@@ -163,9 +163,10 @@
 func TestSuspectsAreThoseWithoutAnswer(t *testing.T) {
 	h := newHistory()
 	h.crash(0, "e1", []string{"ab", "bad"})
-	assert.DeepEqual(t, h.tracker.Suspects(nil), []Part{part("ab"), part("bad"), anyPart(service)})
+	assert.DeepEqual(t, h.tracker.Suspects(h.at(0), nil), []Part{part("ab"), part("bad"), anyPart(service)})
 	h.answer(10, "ab")
-	assert.DeepEqual(t, h.tracker.Suspects([]Entry{{Part: part("old")}}), []Part{part("old"), part("bad")})
+	assert.DeepEqual(t, h.tracker.Suspects(h.at(10), []Entry{{Part: part("old")}}), []Part{part("old"), part("bad")})
+	assert.Equal(t, len(h.tracker.Suspects(h.at(10).Add(askTime), nil)), 0)
 }
 
 // TestSoundPartsAreSpared plays 20 days of traffic with one harmful part and random
--- a/core/sqquarantine/tracker.go
+++ b/core/sqquarantine/tracker.go
@@ -22,7 +22,10 @@
 	// explainedMemory is how long a crash under a quarantined part is kept, so that late
 	// reports are joined to it.
 	explainedMemory = 10 * time.Second
-	// maxSuspects is the maximum number of parts about which gateways are asked.
+	// askTime is how long after a crash gateways are asked about the answers to its parts,
+	// and maxSuspects the maximum number of parts about which they are. Many parts never
+	// come again.
+	askTime     = 30 * time.Second
 	maxSuspects = 256
 	// Gateways need settleTime, and settleTimePerGateway for each of them, to report the
 	// answers that clear a part of a crash.
@@ -112,9 +115,9 @@
 }
 
 // Suspects returns the parts about whose answers gateways must report: those of the
-// entries, and those under which endpoints crashed, newest crash first, with no answer
-// since.
-func (t *Tracker) Suspects(entries []Entry) []Part {
+// entries, and those under which endpoints crashed within askTime, newest crash first,
+// with no answer since.
+func (t *Tracker) Suspects(now time.Time, entries []Entry) []Part {
 	var suspects []Part
 	seen := map[Part]bool{}
 	add := func(p Part) {
@@ -127,6 +130,9 @@
 		add(e.Part)
 	}
 	for _, c := range slices.Backward(t.crashes) {
+		if now.Sub(c.At) > askTime {
+			break
+		}
 		for _, p := range append(c.parts(), anyPart(c.Service)) {
 			if !t.lastAnswer[p].After(c.At) {
 				add(p)
@@ -217,11 +223,15 @@
 			}
 			scored[p] = true
 			n := t.countCrashes(p, crashes)
-			if n < minCrashes && !(former[p] && n >= minRepeatedCrashes) {
+			needed := minCrashes
+			if former[p] {
+				needed = minRepeatedCrashes
+			}
+			if n < needed {
 				continue
 			}
 			if former[p] {
-				// The quarantine before is evidence enough against the other parts.
+				// The quarantine before tells the part apart from others.
 				n += decisiveCrashes
 			}
 			switch {
