--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -132,7 +132,7 @@
 	}
 	x.countForBilling()
 	x.finishDispatch(dispatch, true, true)
-	x.recordAnswer(sqclock.Now())
+	x.recordPartsAnswered(sqclock.Now())
 	x.sends++
 	x.writeResponse(response)
 	return sendResult{}, true
--- a/app/sqgateway/quarantine.go
+++ b/app/sqgateway/quarantine.go
@@ -47,8 +47,9 @@
 	return true
 }
 
-// recordAnswer records that the request was answered in full.
-func (x *request) recordAnswer(now time.Time) {
+// recordPartsAnswered records that a request with the parts of this one was answered in
+// full.
+func (x *request) recordPartsAnswered(now time.Time) {
 	if len(x.attempt.Prompt.Parts) == 0 {
 		return
 	}
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -18,6 +18,7 @@
 // dispatch sends the request to one endpoint after another until the caller has a
 // final response.
 func (x *request) dispatch() {
+	// No endpoints are ordered for requests that are not sent, so this comes first.
 	if x.refuseQuarantined(x.receivedAt) {
 		return
 	}
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -115,7 +115,7 @@
 		x.writeEvents(reply, framer, nil)
 	}
 	x.finishDispatch(dispatch, true, true)
-	x.recordAnswer(sqclock.Now())
+	x.recordPartsAnswered(sqclock.Now())
 	x.clearWriteDeadline()
 	x.sends++
 	x.recordAnswered(x.stream.status, reply.Framing())
