Requests whose answer has just begun count among those that may have crashed the endpoint

Cause: a harmful part crashes an endpoint as it begins to answer; where one event gets out before, the request was not suspected and the part would never have been found. Change: requests within 1 s of their first event are suspected too; long answers still are not.

--- a/app/sqgateway/quarantine.go
+++ b/app/sqgateway/quarantine.go
@@ -11,6 +11,10 @@
 	"sequoiadock/io/sqrpc"
 )
 
+// maxAnswerAge is how long after its first event a request may still be the one under
+// which its endpoint crashes. A harmful part crashes an endpoint as the answer begins.
+const maxAnswerAge = 1 * time.Second
+
 // crashCheckTimeout is how long the gateway waits to learn whether an endpoint that ended
 // a connection has crashed. It asks crashCheckTries times, since a process may close its
 // connections before it stops listening.
@@ -58,8 +62,14 @@
 	x.g.evidence.RecordAnswer(now, x.service, x.attempt.Prompt.SharedParts())
 }
 
-// recordLostConnection records that the endpoint ended the connection of the request
-// before the first event, and checks in the background whether the endpoint has crashed.
+// mayHaveCrashed reports whether the request can be the one under which its endpoint
+// crashed: the endpoint had not begun to answer it, or has begun a short time ago.
+func (x *request) mayHaveCrashed(now time.Time) bool {
+	return x.sendFirstEventAt.IsZero() || now.Sub(x.sendFirstEventAt) < maxAnswerAge
+}
+
+// recordLostConnection records that the endpoint ended the connection of the request, and
+// checks in the background whether the endpoint has crashed.
 func (x *request) recordLostConnection(now time.Time, e *sqplace.Endpoint) {
 	parts := x.attempt.Prompt.SharedParts()
 	if len(parts) == 0 {
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -60,8 +60,10 @@
 	lastEndpoint, lastPrefillEndpoint string
 	expectedLatency                   time.Duration
 	firstEventAt                      time.Time
-	billed                            bool
-	stream                            *stream
+	// sendFirstEventAt is when the first event of the last send came, or the zero time.
+	sendFirstEventAt time.Time
+	billed           bool
+	stream           *stream
 }
 
 // handle admits one request of a caller and sends it to endpoints.
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -115,8 +115,6 @@
 	response *bufferedResponse
 	// reached is false if no connection to the endpoint could be made.
 	reached bool
-	// delivered is set if the send delivered at least one event of a stream.
-	delivered bool
 	// connectionLost is set if the endpoint ended the connection before its response was
 	// complete.
 	connectionLost bool
@@ -171,6 +169,7 @@
 		// estimates; 0 makes the placer ignore it.
 		expectedLatency = 0
 	}
+	x.sendFirstEventAt = time.Time{}
 	dispatch := x.startDispatch(sentAt, e, choice.UncachedTokens, expectedLatency)
 	res, answered := x.exchange(e, dispatch, cacheSource)
 	if answered {
@@ -212,7 +211,7 @@
 		x.sends++
 	}
 	x.triedEndpoints = append(x.triedEndpoints, e.ID())
-	if res.connectionLost && !res.delivered {
+	if res.connectionLost && x.mayHaveCrashed(now) {
 		x.recordLostConnection(now, e)
 	}
 	state := sqattempt.State{
@@ -228,7 +227,7 @@
 		step = sqattempt.GiveUp
 	}
 	x.g.log.Event(sqevent.SendFailed, x.attempt.ID, e.ID(), res.outcome.String(), step.String(),
-		now.Sub(sentAt).Milliseconds(), res.reason, res.delivered, x.attempt.Prompt.SharedParts())
+		now.Sub(sentAt).Milliseconds(), res.reason, !x.sendFirstEventAt.IsZero(), x.attempt.Prompt.SharedParts())
 	if step == sqattempt.Resend {
 		x.g.metrics.resends.Inc()
 		return false
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -48,19 +48,13 @@
 	if x.stream != nil {
 		framer.ResumeAfter(x.stream.framer.LastID())
 	}
-	res, answered := x.relayEvents(reply, dispatch, &framer)
-	res.delivered = framer.HasEvent()
-	return res, answered
-}
-
-func (x *request) relayEvents(reply *sqlink.Response, dispatch *sqplace.Dispatch, framer *sqframe.Framer) (sendResult, bool) {
 	buf := make([]byte, maxReadBytes)
 	for {
 		n, err := reply.Read(buf)
 		events := framer.Push(buf[:n])
 		if len(events) > 0 {
 			x.recordFirstEvent(dispatch)
-			if !x.writeEvents(reply, *framer, events) {
+			if !x.writeEvents(reply, framer, events) {
 				x.finishDispatch(dispatch, true, true)
 				x.fail(http.StatusOK, "the caller's connection broke off")
 				return sendResult{}, true
@@ -73,7 +67,7 @@
 			return sendResult{outcome: sqattempt.Broken, reason: "the stream ended inside an event or before its first one, framing " +
 				reply.Framing().String(), reached: true, connectionLost: !reply.Framing().MarksEnd()}, false
 		case errors.Is(err, io.EOF):
-			x.finishStream(reply, dispatch, *framer)
+			x.finishStream(reply, dispatch, framer)
 			return sendResult{}, true
 		case err != nil:
 			return x.connectionFailure(err), false
@@ -91,6 +85,9 @@
 	if x.firstEventAt.IsZero() {
 		x.firstEventAt = now
 	}
+	if x.sendFirstEventAt.IsZero() {
+		x.sendFirstEventAt = now
+	}
 	x.countForBilling()
 }
 
--- a/core/sqframe/sqframe.go
+++ b/core/sqframe/sqframe.go
@@ -55,9 +55,6 @@
 // order.
 func (f *Framer) Invalid() bool { return f.invalid || len(f.buf) > MaxEventBytes }
 
-// HasEvent reports whether an event was complete.
-func (f *Framer) HasEvent() bool { return f.hasEvent }
-
 // LastID returns the ID of the last complete event that has one, or "".
 func (f *Framer) LastID() string { return f.lastID }
 
--- a/core/sqquarantine/evidence.go
+++ b/core/sqquarantine/evidence.go
@@ -57,8 +57,8 @@
 	return e.older[p]
 }
 
-// RecordBroken records a request whose endpoint ended the connection before the first
-// event. It returns true if the caller must check whether the endpoint has crashed and
+// RecordBroken records a request whose endpoint ended the connection and may have crashed
+// under it. It returns true if the caller must check whether the endpoint has crashed and
 // call RecordCheck.
 func (e *Evidence) RecordBroken(now time.Time, service, endpoint string, parts []string) bool {
 	if c := e.suspected[endpoint]; c != nil {
--- a/core/sqquarantine/sqquarantine.go
+++ b/core/sqquarantine/sqquarantine.go
@@ -2,7 +2,7 @@
 // them, so that no gateway sends requests with such a part.
 //
 // Gateways collect Evidence: the crashes of endpoints that they saw, with the requests
-// that had no event yet, and when requests with a part were last answered in full. The
+// under which they may have crashed, and when requests with a part were last answered in full. The
 // lease holder joins the evidence of all gateways in a Tracker. A part is harmful if
 // several endpoints crashed under it and no request with it was answered since, while
 // other requests were.
@@ -26,7 +26,7 @@
 	Endpoint string
 	At       time.Time
 	// Requests holds the shared parts of each request that was in flight at the endpoint
-	// and of which no event had come.
+	// and whose answer had not begun, or had begun a short time ago.
 	Requests [][]string
 }
 
