--- a/io/sqreplica/power_test.go
+++ b/io/sqreplica/power_test.go
@@ -17,10 +17,9 @@
 )
 
 const (
-	powerLossCount         = 60
-	missingSyncPowerLosses = 20
-	meanPowerLossInterval  = 100 * time.Millisecond
-	powerLossClients       = 4
+	powerLossCount        = 60
+	meanPowerLossInterval = 100 * time.Millisecond
+	powerLossClients      = 4
 )
 
 // ramFS implements sqdisk.FS in memory. A power loss drops data that was not synced,
@@ -234,9 +233,9 @@
 }
 
 // TestJudgeCatchesMissingSync checks that runPowerLosses finds a fault when files are
-// not synced.
+// not synced, with as many power losses as TestPowerLosses has.
 func TestJudgeCatchesMissingSync(t *testing.T) {
-	problem := runPowerLosses(t, missingSyncPowerLosses, true)
+	problem := runPowerLosses(t, powerLossCount, true)
 	t.Logf("found: %s", problem)
 	assert.Assert(t, problem != "")
 }
