--- a/app/sqentry/once_test.go
+++ b/app/sqentry/once_test.go
@@ -113,7 +113,8 @@
 }
 
 // TestOnceCallerLeaves lets the caller's deadline pass while the call runs: the
-// outcome is still recorded, and a resend gets it.
+// outcome is still recorded, and a resend gets it. The deadline must be longer than the
+// commit of the call's begin, or the call does not run.
 func TestOnceCallerLeaves(t *testing.T) {
 	s := newTestSystem(t, 0)
 	release := make(chan struct{})
@@ -123,7 +124,7 @@
 		_, _ = w.Write([]byte("late"))
 	})
 	r := s.do("POST", s.callers+"/booking/places", "{}", "Authorization", "Bearer "+teamKey,
-		"Idempotency-Key", "late", "Sequoiadock-Deadline-Millis", "100")
+		"Idempotency-Key", "late", "Sequoiadock-Deadline-Millis", "1500")
 	assert.Equal(t, r.refusalBody(t).Kind, "callRunning")
 	assert.Equal(t, s.bookPlace("late", "{}").refusalBody(t).Run, "mayHaveRun")
 	close(release)
