Tests of sqentry read what fake engines received under their lock

The handler that writes it closes its connections without an answer, so nothing ordered the two. The race is reported against every test that runs beside it, hence five failing names. Change: accessors under the lock, also for the other fields that tests read without it. No assertion is changed.

--- a/app/sqentry/answer_test.go
+++ b/app/sqentry/answer_test.go
@@ -195,8 +195,8 @@
 	text, end := readStream(t, resp)
 	assert.Equal(t, text, expectedText(100))
 	assert.Equal(t, end, "length")
-	assert.Equal(t, len(s.engines[from].exportedIDs), 1)
-	assert.Equal(t, len(s.engines[1-from].importSources), 1)
+	assert.Equal(t, len(s.engines[from].exports()), 1)
+	assert.Equal(t, len(s.engines[1-from].imports()), 1)
 	before := len(s.engines[from].received())
 	for range 10 {
 		assert.Equal(t, s.chat(2, false).status, 200)
@@ -306,5 +306,5 @@
 	decode := s.engines[1].received()
 	assert.Equal(t, len(decode), 1)
 	assert.Equal(t, *decode[0].ResumePosition, 1)
-	assert.DeepEqual(t, s.engines[1].importSources, []string{s.engines[0].address()})
+	assert.DeepEqual(t, s.engines[1].imports(), []string{s.engines[0].address()})
 }
--- a/app/sqentry/callers_test.go
+++ b/app/sqentry/callers_test.go
@@ -183,8 +183,9 @@
 	received.WriteString(strings.Join(s.plain.rawRequests, "\n"))
 	s.plain.mu.Unlock()
 	e := s.engines[0]
+	headers := e.receivedHeaders()
 	for i, q := range e.received() {
-		fmt.Fprintln(&received, q.raw, e.headers[i])
+		fmt.Fprintln(&received, q.raw, headers[i])
 	}
 	assert.Assert(t, !strings.Contains(received.String(), teamKey), received.String())
 	assert.Assert(t, !strings.Contains(received.String(), "another-secret"))
--- a/app/sqentry/fakeengine_test.go
+++ b/app/sqentry/fakeengine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -209,7 +210,28 @@
 func (e *fakeEngine) received() []fakeRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]fakeRequest(nil), e.requests...)
+	return slices.Clone(e.requests)
+}
+
+// receivedHeaders returns the headers of the requests that received returns.
+func (e *fakeEngine) receivedHeaders() []http.Header {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.headers)
+}
+
+// exports returns the ids of the requests whose KV cache was exported.
+func (e *fakeEngine) exports() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.exportedIDs)
+}
+
+// imports returns the addresses that KV caches were imported from.
+func (e *fakeEngine) imports() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.importSources)
 }
 
 // fakeService records every request that it ran.
@@ -263,6 +285,13 @@
 	s.handler = handler
 }
 
+// runs returns how many calls ran.
+func (s *fakeService) runs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.identities)
+}
+
 // runCount returns how often a call with the identity ran.
 func (s *fakeService) runCount(identity string) int {
 	s.mu.Lock()
--- a/app/sqentry/once_test.go
+++ b/app/sqentry/once_test.go
@@ -62,7 +62,7 @@
 	assert.Equal(t, s.bookPlace("same", `{"dog":"Rex"}`).status, 201)
 	expect(s.bookPlace("same", `{"dog":"Max"}`), 422, "identityReused", "notRun")
 	assert.Equal(t, s.plain.runCount("same"), 1)
-	assert.Equal(t, len(s.plain.identities), 1)
+	assert.Equal(t, s.plain.runs(), 1)
 }
 
 // TestOnceUnknown loses the response of a call that ran: no resend runs it
--- a/app/sqentry/transfer_test.go
+++ b/app/sqentry/transfer_test.go
@@ -90,5 +90,5 @@
 	text, end := parseStream(t, r)
 	assert.Equal(t, text, expectedText(20))
 	assert.Equal(t, end, "length")
-	assert.Equal(t, len(s.engines[0].exportedIDs), 1)
+	assert.Equal(t, len(s.engines[0].exports()), 1)
 }
