--- a/core/sqattempt/sqattempt.go
+++ b/core/sqattempt/sqattempt.go
@@ -81,6 +81,8 @@
 	AttemptID string
 	// NotRun is set if the endpoint reports that the request did not run.
 	NotRun bool
+	// Leaving is set if the endpoint reports that it is about to stop.
+	Leaving bool
 	// Signed is set if the response has the endpoint's signature.
 	Signed bool
 	// HasLoad is set if the response contains a LoadReport.
