An endpoint whose response says that it leaves gets no more requests

Cause: only the platform's list said which endpoints leave, and it may be late or older than what a gateway has read from the endpoint itself. Change: core/sqdeparture remembers endpoints by identity, beyond their time on the list, so that a stale list does not revive one. A gateway sends nothing from the moment it has read such a response (of any kind, but for 421, which another endpoint sends) and names the endpoint in its heartbeats until the holder lists it as draining; the holder tells all gateways and counts it as no capacity. The list's revision changes only if what gateways are sent changes, so the platform's later 'draining' sends no second list.

--- /dev/null
+++ b/app/sqcoordinator/departures_test.go
@@ -0,0 +1,77 @@
+package sqcoordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiadock/core/sqplace"
+	"sequoiadock/io/sqrpc"
+)
+
+// listedDraining returns whether the response lists the endpoint as draining, and false
+// if it does not list the endpoint.
+func listedDraining(res *sqrpc.BeatResponse, id string) bool {
+	for _, e := range res.GetEndpoints() {
+		if e.GetId() == id {
+			return e.GetDraining()
+		}
+	}
+	return false
+}
+
+// TestDepartureIsNotPassedOn fails if a gateway does not learn from the lease holder, or from the next one, what another gateway reports.
+func TestDepartureIsNotPassedOn(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 2, 3)
+	beat := func(gateway string, leaving ...string) *sqrpc.BeatResponse {
+		req := newBeatRequest(gateway, 0)
+		req.LeavingEndpoints = leaving
+		res, err := g.nodes[g.holder()].Beat(context.Background(), req)
+		if err != nil {
+			return nil
+		}
+		return res
+	}
+	const id = "i1"
+	g.platform.mu.Lock()
+	g.platform.endpoints = []sqplace.Endpoint{sqplace.NewEndpoint(sqplace.EndpointConfig{ID: id, Service: "s"})}
+	g.platform.mu.Unlock()
+	g.waitFor("the list", func() bool { return len(beat("g1").GetEndpoints()) > 0 })
+	assert.Assert(t, !listedDraining(beat("g1"), id))
+	assert.Assert(t, listedDraining(beat("g1", id), id), "the report's own response has the endpoint as draining")
+	assert.Assert(t, listedDraining(beat("g2"), id))
+	time.Sleep(2 * endpointPollInterval)
+	assert.Assert(t, listedDraining(beat("g2"), id), "a later list of the platform does not revive the endpoint")
+	g.stop(g.holder())
+	g.waitFor("the next holder's list", func() bool { return len(beat("g2").GetEndpoints()) > 0 })
+	g.waitFor("the report to the next holder", func() bool { return listedDraining(beat("g1", id), id) })
+	assert.Assert(t, listedDraining(beat("g2"), id))
+}
+
+// TestRevisionChangesWithSentList checks that gateways get a new list only if it differs
+// from what they have: an endpoint that reported its stop before is draining already.
+func TestRevisionChangesWithSentList(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1)
+	c := g.nodes[1].coordinator
+	now := time.Unix(100, 0)
+	ts := newTermState(now, 2, time.Second)
+	i1 := sqplace.NewEndpoint(sqplace.EndpointConfig{ID: "i1", Service: "s"})
+	record := func(list ...sqplace.Endpoint) uint64 {
+		c.recordEndpoints(now, ts, list, 0, nil)
+		return ts.fleetRevision
+	}
+	first := record(i1)
+	c.mu.Lock()
+	c.recordDepartures(now, ts, &sqrpc.BeatRequest{LeavingEndpoints: []string{"i1"}})
+	c.recordDepartures(now, ts, &sqrpc.BeatRequest{LeavingEndpoints: []string{"i1"}})
+	c.mu.Unlock()
+	assert.Equal(t, ts.fleetRevision, first+1)
+	assert.Equal(t, record(i1.WithDraining()), first+1)
+	assert.Equal(t, record(), first+2)
+	assert.Equal(t, record(i1), first+3)
+	assert.Assert(t, ts.endpointsForGateways()[0].Draining(), "the list is older than the report")
+}
--- a/app/sqcoordinator/duties.go
+++ b/app/sqcoordinator/duties.go
@@ -69,11 +69,13 @@
 		c.log.Event(sqevent.EndpointListRecovered, len(list))
 	}
 	t.fleetReadFailing, t.fleetReadAt = false, now
+	isFirst, sent := t.fleet == nil, t.endpointsForGateways()
+	t.fleet = append([]sqplace.Endpoint{}, list...)
 	t.orders.pruneStageOverrides(list)
-	if t.fleet != nil && slices.Equal(t.fleet, list) {
+	c.forgetDepartures(now, t, list)
+	if !isFirst && slices.Equal(sent, t.endpointsForGateways()) {
 		return
 	}
-	t.fleet = append([]sqplace.Endpoint{}, list...)
 	t.fleetRevision++
 	c.log.Event(sqevent.EndpointListChanged, t.fleetRevision, len(list), unreadable)
 }
--- a/app/sqcoordinator/heartbeat.go
+++ b/app/sqcoordinator/heartbeat.go
@@ -102,6 +102,7 @@
 	})
 	c.mu.Lock()
 	c.recordBeat(now, t, req)
+	c.recordDepartures(now, t, req)
 	c.fillBeatResponse(now, t, req, res)
 	t.promptReads.exchange(req, res)
 	c.exchangeEvidence(now, t, req, res)
--- a/app/sqcoordinator/holder.go
+++ b/app/sqcoordinator/holder.go
@@ -9,6 +9,7 @@
 
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqcommand"
+	"sequoiadock/core/sqdeparture"
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqoffset"
@@ -50,6 +51,8 @@
 	orders      orderState
 	promptReads promptReadLog
 	quarantine  *sqquarantine.Tracker
+	// departures holds the endpoints that gateways reported to be about to stop.
+	departures *sqdeparture.Log
 }
 
 func newTermState(now time.Time, term uint64, billingWindow time.Duration) *termState {
@@ -57,7 +60,7 @@
 		term: term, startedAt: now, announcements: map[uint64]sqquorum.Candidate{}, gateways: map[string]*gateway{},
 		requestCounts: sqwindow.NewCollector(now, billingWindow), clockOffsets: sqoffset.New(), fleetRevision: term << counterBits,
 		orders: newOrderState(), promptReads: newPromptReadLog(term),
-		quarantine: sqquarantine.NewTracker(),
+		quarantine: sqquarantine.NewTracker(), departures: sqdeparture.NewLog(),
 	}
 }
 
--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -268,15 +268,15 @@
 
 // endpointsForGateways returns the endpoints as gateways see them: with the stages that
 // the platform's list may not show yet, and with the engines whose stage is being changed
-// as draining, so that they get no new requests. The caller must hold the coordinator's
-// mu.
+// and the endpoints that are about to stop as draining, so that they get no new requests.
+// The caller must hold the coordinator's mu.
 func (t *termState) endpointsForGateways() []sqplace.Endpoint {
 	list := make([]sqplace.Endpoint, 0, len(t.fleet))
 	for _, e := range t.fleet {
 		if stage, ok := t.orders.stageOverrides[e.ID()]; ok {
 			e = e.WithStage(stage)
 		}
-		if t.orders.changingStage[e.ID()] {
+		if t.orders.changingStage[e.ID()] || t.departures.Contains(e.ID()) {
 			e = e.WithDraining()
 		}
 		list = append(list, e)
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -41,7 +41,7 @@
 	}
 	defer reply.Close()
 	response := x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header())
-	x.recordLoadReport(e, response)
+	x.recordReports(e, reply.Status(), response)
 	switch {
 	case response.NotRun:
 		return sendResult{outcome: sqattempt.Declined,
@@ -68,13 +68,22 @@
 	}
 }
 
-func (x *request) recordLoadReport(e *sqplace.Endpoint, response sqattempt.Response) {
+// recordReports records what an endpoint reports of itself in a response.
+func (x *request) recordReports(e *sqplace.Endpoint, status int, response sqattempt.Response) {
+	if status == http.StatusMisdirectedRequest {
+		// The response is that of another endpoint, which has the address now.
+		return
+	}
+	now := sqclock.Now()
+	if response.Leaving {
+		x.g.recordLeaving(now, e)
+	}
 	if !response.HasLoad {
 		return
 	}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	x.g.placer.RecordLoadReport(sqclock.Now(), e.ID(), response.Load)
+	x.g.placer.RecordLoadReport(now, e.ID(), response.Load)
 }
 
 // newCall returns the request in the form that is sent to the endpoint.
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -46,7 +46,7 @@
 		return "", x.connectionFailure(err).reached, err
 	}
 	defer reply.Close()
-	x.recordLoadReport(e, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
+	x.recordReports(e, reply.Status(), x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
 	body, err := io.ReadAll(io.LimitReader(reply, maxReadBytes))
 	if err != nil {
 		return "", true, err
@@ -98,6 +98,7 @@
 			x.g.log.Event(sqevent.PrefillFailed, id, e.ID(), 0, "the handle was not given back: "+err.Error())
 			return
 		}
+		x.recordReports(e, reply.Status(), x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
 		reply.Close()
 	}()
 }
--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -137,6 +137,7 @@
 // response.
 func (g *gateway) sendHeartbeat(ctx context.Context, address string) error {
 	sentAt := sqclock.Now()
+	g.forgetDepartures(sentAt)
 	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.coordinatorClient)
 	res, err := client.Beat(ctx, g.heartbeatRequest())
 	if err != nil {
@@ -171,6 +172,7 @@
 	}
 	g.unsentCacheUpdates = g.unsentCacheUpdates[max(0, len(g.unsentCacheUpdates)-maxUnsentCacheUpdates):]
 	req.Reads, req.ReadsSeen = g.unsentCacheUpdates, g.lastSeenCacheUpdate
+	req.LeavingEndpoints = g.placer.UnlistedDepartures()
 	g.addEvidence(sqclock.Now(), v, req)
 	for service, d := range g.demandByService {
 		req.Demand = append(req.Demand, d.toProto(service))
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -2,31 +2,34 @@
 
 // Events 5000 to 5999: coordinators.
 var (
-	BootstrapFailed           = Event{5000, Error, "cluster bootstrap failed", []string{"error"}}
-	MemberChanged             = Event{5001, Info, "cluster membership changed", []string{"change", "id", "reason"}}
-	MemberChangeFailed        = Event{5002, Warn, "cluster membership change failed", []string{"change", "id", "reason", "error"}}
-	TableCommitted            = Event{5003, Info, "routing table committed", []string{"version", "inForce"}}
-	TableRefused              = Event{5004, Warn, "routing table refused", []string{"bytes", "error"}}
-	TableNotCommitted         = Event{5005, Warn, "routing table not committed", []string{"version", "error"}}
-	GatewayFound              = Event{5006, Info, "gateway found", []string{"gateway", "run", "zone"}}
-	GatewayLeaving            = Event{5007, Info, "gateway is leaving", []string{"gateway"}}
-	GatewayLost               = Event{5008, Warn, "gateway lost, no heartbeats received", []string{"gateway"}}
-	EndpointListChanged       = Event{5009, Info, "list of endpoints changed", []string{"revision", "endpoints", "unreadable"}}
-	EndpointListFailed        = Event{5010, Warn, "the platform's list could not be read", []string{"ageMillis", "error"}}
-	EndpointListRecovered     = Event{5011, Info, "the platform's list can be read again", []string{"endpoints"}}
-	EndpointsOrdered          = Event{5012, Info, "endpoints ordered", []string{"service", "zone", "spot", "count", "had", "reason"}}
-	EndpointsRefused          = Event{5013, Warn, "endpoint order not accepted", []string{"service", "zone", "spot", "count", "error"}}
-	StageOrdered              = Event{5014, Info, "stage of an engine ordered", []string{"endpoint", "stage", "reason"}}
-	DiskReopening             = Event{5016, Error, "disk failed, will be reopened", []string{"error", "pauseMillis"}}
-	InitialEndpointsCommitted = Event{5018, Info, "first fleet of a service committed", []string{"service", "endpoints"}}
-	PartQuarantined           = Event{5019, Warn, "part of prompts quarantined, endpoints crashed under it", []string{"service", "part", "times", "termMillis"}}
-	PartReleased              = Event{5020, Info, "part of prompts released, a request with it was answered", []string{"service", "part"}}
-	ServiceLoad               = Event{5017, Info, "service load", []string{"service", "stage", "endpoints", "away", "running", "unreadTokens"}}
-	StageRefused              = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
+	BootstrapFailed            = Event{5000, Error, "cluster bootstrap failed", []string{"error"}}
+	MemberChanged              = Event{5001, Info, "cluster membership changed", []string{"change", "id", "reason"}}
+	MemberChangeFailed         = Event{5002, Warn, "cluster membership change failed", []string{"change", "id", "reason", "error"}}
+	TableCommitted             = Event{5003, Info, "routing table committed", []string{"version", "inForce"}}
+	TableRefused               = Event{5004, Warn, "routing table refused", []string{"bytes", "error"}}
+	TableNotCommitted          = Event{5005, Warn, "routing table not committed", []string{"version", "error"}}
+	GatewayFound               = Event{5006, Info, "gateway found", []string{"gateway", "run", "zone"}}
+	GatewayLeaving             = Event{5007, Info, "gateway is leaving", []string{"gateway"}}
+	GatewayLost                = Event{5008, Warn, "gateway lost, no heartbeats received", []string{"gateway"}}
+	EndpointListChanged        = Event{5009, Info, "list of endpoints changed", []string{"revision", "endpoints", "unreadable"}}
+	EndpointListFailed         = Event{5010, Warn, "the platform's list could not be read", []string{"ageMillis", "error"}}
+	EndpointListRecovered      = Event{5011, Info, "the platform's list can be read again", []string{"endpoints"}}
+	EndpointsOrdered           = Event{5012, Info, "endpoints ordered", []string{"service", "zone", "spot", "count", "had", "reason"}}
+	EndpointsRefused           = Event{5013, Warn, "endpoint order not accepted", []string{"service", "zone", "spot", "count", "error"}}
+	StageOrdered               = Event{5014, Info, "stage of an engine ordered", []string{"endpoint", "stage", "reason"}}
+	DiskReopening              = Event{5016, Error, "disk failed, will be reopened", []string{"error", "pauseMillis"}}
+	InitialEndpointsCommitted  = Event{5018, Info, "first fleet of a service committed", []string{"service", "endpoints"}}
+	PartQuarantined            = Event{5019, Warn, "part of prompts quarantined, endpoints crashed under it", []string{"service", "part", "times", "termMillis"}}
+	PartReleased               = Event{5020, Info, "part of prompts released, a request with it was answered", []string{"service", "part"}}
+	ServiceLoad                = Event{5017, Info, "service load", []string{"service", "stage", "endpoints", "away", "running", "unreadTokens"}}
+	DepartureReported          = Event{5021, Info, "endpoint is about to stop, as a gateway reports", []string{"endpoint", "gateway", "revision"}}
+	DepartureForgottenByHolder = Event{5022, Info, "endpoint that was reported to stop is no longer listed and is forgotten", []string{"endpoint"}}
+	StageRefused               = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
 
 var coordinatorEvents = []Event{
 	BootstrapFailed, MemberChanged, MemberChangeFailed, TableCommitted, TableRefused, TableNotCommitted,
 	GatewayFound, GatewayLeaving, GatewayLost, EndpointListChanged, EndpointListFailed, EndpointListRecovered,
 	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, PartQuarantined, PartReleased,
+	DepartureReported, DepartureForgottenByHolder,
 }
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -20,10 +20,13 @@
 	CallerNotReset      = Event{6015, Error, "connection of an aborted response could not be reset", []string{"request", "error"}}
 	EndpointCrashed     = Event{6016, Warn, "endpoint crashed with requests in flight", []string{"endpoint", "service"}}
 	QuarantineInForce   = Event{6017, Warn, "requests with a part of prompts are refused", []string{"service", "part", "leftMillis"}}
+	EndpointLeaving     = Event{6018, Info, "endpoint reports that it is about to stop and gets no requests", []string{"endpoint", "service", "address"}}
+	DepartureForgotten  = Event{6019, Info, "endpoint that reported its stop is no longer listed and is forgotten", []string{"endpoint"}}
 )
 
 var gatewayEvents = []Event{
 	GatewayLeaseGained, GatewayLeaseLost, HolderPollFailed, TableInForce, TableUnreadable, EndpointListInForce,
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
+	EndpointLeaving, DepartureForgotten,
 }
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -67,7 +67,7 @@
 func (p *Placer) candidates(now time.Time, s *pool, r *request) []*node {
 	var healthy, all []*node
 	for _, n := range s.nodes {
-		if n.endpoint.Draining() || slices.Contains(r.Tried, n.endpoint.ID()) {
+		if !n.available() || slices.Contains(r.Tried, n.endpoint.ID()) {
 			continue
 		}
 		all = append(all, n)
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -35,6 +35,8 @@
 	failureRate     float64
 	connectFailures int
 	suspectUntil    time.Time
+	// leaving is set once the endpoint reported that it is about to stop.
+	leaving bool
 }
 
 func newNode() *node { return &node{cache: newPrefixCache()} }
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sequoiadock/core/sqattempt"
+	"sequoiadock/core/sqdeparture"
 	"sequoiadock/core/sqtable"
 )
 
@@ -155,6 +156,8 @@
 	randomState uint64
 	// cacheUpdates holds the updates that were not sent to other gateways yet.
 	cacheUpdates []CacheUpdate
+	// departures holds the endpoints that reported that they are about to stop.
+	departures *sqdeparture.Log
 }
 
 // pool holds the endpoints of a service and the latencies observed at them.
@@ -170,7 +173,9 @@
 
 // New returns a placer without endpoints.
 func New(cfg Config) *Placer {
-	return &Placer{cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed}
+	return &Placer{
+		cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
+	}
 }
 
 // SetEndpoints replaces the list of endpoints. Endpoints that remain listed keep their
@@ -184,6 +189,7 @@
 		n := p.nodes[e.ID()]
 		if n == nil {
 			n = newNode()
+			n.leaving = p.departures.Contains(e.ID())
 		}
 		n.endpoint = e
 		nodes[e.ID()] = n
