An endpoint that refuses with Retry-After gets nothing until the time has passed

Cause: Retry-After of an endpoint's 503 was not read. Runs and prefills go elsewhere, within the shared retry budget; a KV cache there is not released. sqlink asks once more when the connection is open, as that may take 0.7 s. If all endpoints of a service refuse, callers are refused at once with the time of the first one and up to a half of it more at random. Events 6020 to 6022, a counter; trace names them.

--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -41,7 +41,7 @@
 	}
 	defer reply.Close()
 	response := x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header())
-	x.recordReports(e, reply.Status(), response)
+	x.g.recordReports(e, reply, response)
 	switch {
 	case response.NotRun:
 		return sendResult{outcome: sqattempt.Declined,
@@ -68,24 +68,6 @@
 	}
 }
 
-// recordReports records what an endpoint reports of itself in a response.
-func (x *request) recordReports(e *sqplace.Endpoint, status int, response sqattempt.Response) {
-	if status == http.StatusMisdirectedRequest {
-		// The response is that of another endpoint, which has the address now.
-		return
-	}
-	now := sqclock.Now()
-	if response.Leaving {
-		x.g.recordLeaving(now, e)
-	}
-	if !response.HasLoad {
-		return
-	}
-	x.g.mu.Lock()
-	defer x.g.mu.Unlock()
-	x.g.placer.RecordLoadReport(now, e.ID(), response.Load)
-}
-
 // newCall returns the request in the form that is sent to the endpoint.
 func (x *request) newCall(e *sqplace.Endpoint, params sqattempt.SendParams) *sqlink.Call {
 	now := sqclock.Now()
@@ -96,6 +78,7 @@
 		Endpoint: e.ID(), Address: e.Address(), Method: x.r.Method, Target: x.target(), Host: x.r.Host,
 		Header: h, Body: x.body,
 		Matches: x.matchesAttempt, MaxConnections: x.maxConnections(),
+		Allowed: func() bool { return x.g.available(e.ID()) },
 	}
 	if !x.route.Retryable() {
 		call.MaxIdle = atMostOnceMaxIdle
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -15,7 +15,7 @@
 	running atomic.Int64
 
 	answered, refused, failed, disconnected, resends, closeFramed, quarantined *metrics.Counter
-	leavingEndpoints                                                           *metrics.Counter
+	leavingEndpoints, endpointRefusals                                         *metrics.Counter
 	firstEventSeconds, requestSeconds                                          *metrics.Histogram
 }
 
@@ -31,6 +31,7 @@
 		quarantined:       set.NewCounter("sequoiadock_gateway_quarantined_requests"),
 		closeFramed:       set.NewCounter("sequoiadock_gateway_close_framed_responses"),
 		leavingEndpoints:  set.NewCounter("sequoiadock_gateway_leaving_endpoints"),
+		endpointRefusals:  set.NewCounter("sequoiadock_gateway_endpoint_refusals"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
 	}
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -46,7 +46,7 @@
 		return "", x.connectionFailure(err).reached, err
 	}
 	defer reply.Close()
-	x.recordReports(e, reply.Status(), x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
+	x.g.recordReports(e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
 	body, err := io.ReadAll(io.LimitReader(reply, maxReadBytes))
 	if err != nil {
 		return "", true, err
@@ -87,7 +87,8 @@
 	_, handle, _ := strings.Cut(cacheSource, "/")
 	call := &sqlink.Call{
 		Endpoint: e.ID(), Address: e.Address(), Method: http.MethodDelete, Host: e.Address(), Header: http.Header{},
-		Target: x.g.cfg.Wire.ReleasePath(handle),
+		Target:  x.g.cfg.Wire.ReleasePath(handle),
+		Allowed: func() bool { return !x.g.refuses(e.ID()) },
 	}
 	id := x.attempt.ID
 	go func() {
@@ -98,7 +99,7 @@
 			x.g.log.Event(sqevent.PrefillFailed, id, e.ID(), 0, "the handle was not given back: "+err.Error())
 			return
 		}
-		x.recordReports(e, reply.Status(), x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
+		x.g.recordReports(e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
 		reply.Close()
 	}()
 }
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -153,7 +153,7 @@
 	decode := x.chooseDecode(now)
 	if decode.Endpoint == nil {
 		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
-		x.finishUnanswered(x.stepWithoutEndpoint(now), decode.Reason, defaultRetryAfter)
+		x.finishUnanswered(x.stepWithoutEndpoint(now), decode.Reason, decode.RetryAfter)
 		return true
 	}
 	return x.sendTo(decode.Endpoint, choice, cacheSource)
@@ -236,7 +236,7 @@
 		x.writeResponse(res.response)
 		return true
 	}
-	x.finishUnanswered(step, res.reason, defaultRetryAfter)
+	x.finishUnanswered(step, res.reason, x.retryAfter(now))
 	return true
 }
 
--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -137,7 +137,7 @@
 // response.
 func (g *gateway) sendHeartbeat(ctx context.Context, address string) error {
 	sentAt := sqclock.Now()
-	g.forgetDepartures(sentAt)
+	g.updateAvailability(sentAt)
 	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.coordinatorClient)
 	res, err := client.Beat(ctx, g.heartbeatRequest())
 	if err != nil {
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -2,31 +2,34 @@
 
 // Events 6000 to 6999: gateways.
 var (
-	GatewayLeaseGained  = Event{6000, Info, "gateway gained its freshness lease", []string{"holder", "version", "revision"}}
-	GatewayLeaseLost    = Event{6001, Warn, "gateway's freshness lease ran out, no answer from the holder", []string{"silentMillis", "error"}}
-	HolderPollFailed    = Event{6002, Warn, "coordinator did not answer as the lease holder", []string{"address", "error"}}
-	TableInForce        = Event{6003, Info, "routing table in force", []string{"version"}}
-	TableUnreadable     = Event{6004, Error, "routing table of the holder cannot be used", []string{"version", "error"}}
-	EndpointListInForce = Event{6005, Info, "list of endpoints in force", []string{"revision", "endpoints"}}
-	RequestDone         = Event{6006, Info, "request answered", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "firstMillis", "totalMillis", "expectedMillis", "version", "framing"}}
-	RequestRefused      = Event{6007, Info, "request refused, not run", []string{"request", "route", "team", "status", "reason", "retryAfterMillis", "ageMillis", "version"}}
-	RequestFailed       = Event{6008, Warn, "request failed", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "reason", "totalMillis", "version"}}
-	SendFailed          = Event{6009, Info, "send to an endpoint failed", []string{"request", "endpoint", "outcome", "next", "afterMillis", "reason", "events", "parts"}}
-	CallerDisconnected  = Event{6010, Info, "caller disconnected before the response", []string{"request", "route", "endpoint", "totalMillis"}}
-	GatewayStopping     = Event{6011, Info, "gateway leaves the directory", []string{"keepMillis"}}
-	GatewayGraceExpired = Event{6012, Warn, "stop grace period ended with requests still running", []string{"running"}}
-	PrefillFailed       = Event{6013, Info, "prefill on another endpoint failed", []string{"request", "endpoint", "afterMillis", "reason"}}
-	WaitedForHolder     = Event{6014, Info, "request waited for the lease holder after the gateway started", []string{"request", "waitedMillis", "heard"}}
-	CallerNotReset      = Event{6015, Error, "connection of an aborted response could not be reset", []string{"request", "error"}}
-	EndpointCrashed     = Event{6016, Warn, "endpoint crashed with requests in flight", []string{"endpoint", "service"}}
-	QuarantineInForce   = Event{6017, Warn, "requests with a part of prompts are refused", []string{"service", "part", "leftMillis"}}
-	EndpointLeaving     = Event{6018, Info, "endpoint reports that it is about to stop and gets no requests", []string{"endpoint", "service", "address"}}
-	DepartureForgotten  = Event{6019, Info, "endpoint that reported its stop is no longer listed and is forgotten", []string{"endpoint"}}
+	GatewayLeaseGained   = Event{6000, Info, "gateway gained its freshness lease", []string{"holder", "version", "revision"}}
+	GatewayLeaseLost     = Event{6001, Warn, "gateway's freshness lease ran out, no answer from the holder", []string{"silentMillis", "error"}}
+	HolderPollFailed     = Event{6002, Warn, "coordinator did not answer as the lease holder", []string{"address", "error"}}
+	TableInForce         = Event{6003, Info, "routing table in force", []string{"version"}}
+	TableUnreadable      = Event{6004, Error, "routing table of the holder cannot be used", []string{"version", "error"}}
+	EndpointListInForce  = Event{6005, Info, "list of endpoints in force", []string{"revision", "endpoints"}}
+	RequestDone          = Event{6006, Info, "request answered", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "firstMillis", "totalMillis", "expectedMillis", "version", "framing"}}
+	RequestRefused       = Event{6007, Info, "request refused, not run", []string{"request", "route", "team", "status", "reason", "retryAfterMillis", "ageMillis", "version"}}
+	RequestFailed        = Event{6008, Warn, "request failed", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "reason", "totalMillis", "version"}}
+	SendFailed           = Event{6009, Info, "send to an endpoint failed", []string{"request", "endpoint", "outcome", "next", "afterMillis", "reason", "events", "parts"}}
+	CallerDisconnected   = Event{6010, Info, "caller disconnected before the response", []string{"request", "route", "endpoint", "totalMillis"}}
+	GatewayStopping      = Event{6011, Info, "gateway leaves the directory", []string{"keepMillis"}}
+	GatewayGraceExpired  = Event{6012, Warn, "stop grace period ended with requests still running", []string{"running"}}
+	PrefillFailed        = Event{6013, Info, "prefill on another endpoint failed", []string{"request", "endpoint", "afterMillis", "reason"}}
+	WaitedForHolder      = Event{6014, Info, "request waited for the lease holder after the gateway started", []string{"request", "waitedMillis", "heard"}}
+	CallerNotReset       = Event{6015, Error, "connection of an aborted response could not be reset", []string{"request", "error"}}
+	EndpointCrashed      = Event{6016, Warn, "endpoint crashed with requests in flight", []string{"endpoint", "service"}}
+	QuarantineInForce    = Event{6017, Warn, "requests with a part of prompts are refused", []string{"service", "part", "leftMillis"}}
+	EndpointLeaving      = Event{6018, Info, "endpoint reports that it is about to stop and gets no requests", []string{"endpoint", "service", "address"}}
+	DepartureForgotten   = Event{6019, Info, "endpoint that reported its stop is no longer listed and is forgotten", []string{"endpoint"}}
+	EndpointRefuses      = Event{6020, Info, "endpoint refuses requests with 503 and gets none until its Retry-After has passed", []string{"endpoint", "service", "retryAfterMillis"}}
+	EndpointRefusalEnded = Event{6021, Info, "time for which an endpoint refused requests has passed", []string{"endpoint"}}
+	RetryAfterUnreadable = Event{6022, Warn, "Retry-After of an endpoint cannot be read and is ignored", []string{"endpoint", "value"}}
 )
 
 var gatewayEvents = []Event{
 	GatewayLeaseGained, GatewayLeaseLost, HolderPollFailed, TableInForce, TableUnreadable, EndpointListInForce,
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
-	EndpointLeaving, DepartureForgotten,
+	EndpointLeaving, DepartureForgotten, EndpointRefuses, EndpointRefusalEnded, RetryAfterUnreadable,
 }
--- a/core/sqplace/availability.go
+++ b/core/sqplace/availability.go
@@ -5,9 +5,28 @@
 	"time"
 )
 
-// available reports whether the endpoint may get requests: it is neither listed as
-// draining nor has it reported that it is about to stop.
-func (n *node) available() bool { return !n.endpoint.Draining() && !n.leaving }
+// maxRefusalTime limits for how long an endpoint gets no requests after a refusal, so that
+// one wrong header does not take it away for a day.
+const maxRefusalTime = 10 * time.Minute
+
+// departing reports whether the endpoint is listed as draining or has reported that it is
+// about to stop.
+func (n *node) departing() bool { return n.endpoint.Draining() || n.leaving }
+
+// available reports whether the endpoint may get requests.
+func (n *node) available(now time.Time) bool {
+	return !n.departing() && !now.Before(n.refusesUntil)
+}
+
+// Available reports whether a listed endpoint may get requests. After an endpoint is
+// chosen and before the request is sent, that may change.
+func (p *Placer) Available(now time.Time, id string) bool {
+	n := p.nodes[id]
+	return n != nil && n.available(now)
+}
+
+// Refuses reports whether an endpoint wants no requests of this gateway now.
+func (p *Placer) Refuses(now time.Time, id string) bool { return now.Before(p.refusals[id]) }
 
 // RecordLeaving records that an endpoint reported that it is about to stop. It gets no
 // more requests, whatever the list says. RecordLeaving returns false if that was recorded
@@ -37,3 +56,76 @@
 	slices.Sort(ids)
 	return ids
 }
+
+// RecordRefusal records that an endpoint wants no requests of this gateway for some time.
+// It returns false if that was already the case.
+func (p *Placer) RecordRefusal(now time.Time, id string, wait time.Duration) bool {
+	old, until := p.refusals[id], now.Add(min(wait, maxRefusalTime))
+	if until.After(old) {
+		p.refusals[id] = until
+	}
+	if n := p.nodes[id]; n != nil {
+		n.refusesUntil = p.refusals[id]
+	}
+	return !now.Before(old)
+}
+
+// EndRefusals forgets the refusals whose time has passed and returns the identities of the
+// endpoints, sorted.
+func (p *Placer) EndRefusals(now time.Time) []string {
+	var ids []string
+	for id, until := range p.refusals {
+		if !now.Before(until) {
+			delete(p.refusals, id)
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// RetryAfter returns the time until an endpoint of the service may get requests, or 0 if
+// one may get them now or none will. It is longer for some callers than for others, so
+// that they do not all return at the same time.
+func (p *Placer) RetryAfter(now time.Time, service string) time.Duration {
+	s := p.services[service]
+	if s == nil {
+		return 0
+	}
+	wait := s.refusalTimeLeft(now)
+	if wait == 0 {
+		return 0
+	}
+	return wait + p.randomDuration(max(wait/2, minRetryAfter))
+}
+
+// refusalTimeLeft returns the time until the first endpoint may get requests, or 0 if one
+// may get them now or none will.
+func (s *pool) refusalTimeLeft(now time.Time) time.Duration {
+	left := time.Duration(0)
+	for _, n := range s.nodes {
+		switch wait := n.refusesUntil.Sub(now); {
+		case n.departing():
+		case wait <= 0:
+			return 0
+		case left == 0 || wait < left:
+			left = wait
+		}
+	}
+	return left
+}
+
+// noEndpoint returns the choice for a request that no endpoint may get. The reason is used
+// if that does not change with time.
+func (p *Placer) noEndpoint(now time.Time, service, reason string) Choice {
+	if wait := p.RetryAfter(now, service); wait > 0 {
+		return Choice{RetryAfter: wait, Reason: "all endpoints refuse requests for now"}
+	}
+	return Choice{RetryAfter: maxRetryAfter / 3, Reason: reason}
+}
+
+// randomDuration returns a random duration below limit.
+func (p *Placer) randomDuration(limit time.Duration) time.Duration {
+	const bits = 53
+	return time.Duration(float64(limit) * float64(p.nextRandom()>>(64-bits)) / (1 << bits))
+}
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -28,7 +28,7 @@
 	if s == nil || len(s.nodes) == 0 {
 		return Choice{RetryAfter: maxRetryAfter / 3, Reason: "no endpoint is listed for the service"}
 	}
-	r := newRequest(q, s)
+	r := newRequest(now, q, s)
 	nodes := p.candidates(now, s, r)
 	best := p.bestDirect(now, s, r, nodes)
 	if remote, ok := p.bestRemotePrefill(now, s, r, nodes); ok {
@@ -38,7 +38,7 @@
 	}
 	c := best.choice
 	if c.Endpoint == nil {
-		return Choice{RetryAfter: maxRetryAfter / 3, Reason: "no endpoint can be reached"}
+		return p.noEndpoint(now, q.Service, "no endpoint can be reached")
 	}
 	if maxLatency := q.TimeLeft * maxLatencyPercent / 100; c.ExpectedLatency > maxLatency {
 		retryAfter := min(max(c.ExpectedLatency-maxLatency, minRetryAfter), maxRetryAfter)
@@ -54,10 +54,10 @@
 	if s == nil {
 		return Choice{Reason: "no endpoint is listed for the service"}
 	}
-	r := newRequest(q, s)
+	r := newRequest(now, q, s)
 	c := p.bestDecode(now, s, r, withoutStage(p.candidates(now, s, r), Prefill)).choice
 	if c.Endpoint == nil {
-		c.Reason = "no engine can make the tokens"
+		return p.noEndpoint(now, q.Service, "no engine can make the tokens")
 	}
 	return c
 }
@@ -67,7 +67,7 @@
 func (p *Placer) candidates(now time.Time, s *pool, r *request) []*node {
 	var healthy, all []*node
 	for _, n := range s.nodes {
-		if !n.available() || slices.Contains(r.Tried, n.endpoint.ID()) {
+		if !n.available(now) || slices.Contains(r.Tried, n.endpoint.ID()) {
 			continue
 		}
 		all = append(all, n)
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -54,11 +54,11 @@
 	prefixCached bool
 }
 
-func newRequest(q *Query, s *pool) *request {
+func newRequest(now time.Time, q *Query, s *pool) *request {
 	hashes, lengths := prefixHashes(&q.Prompt)
 	r := &request{Query: q, hashes: hashes, lengths: lengths}
 	for _, n := range s.nodes {
-		if last := len(lengths) - 1; last >= 0 && n.available() && n.cache.cachedTokens(hashes, lengths) == lengths[last] {
+		if last := len(lengths) - 1; last >= 0 && n.available(now) && n.cache.cachedTokens(hashes, lengths) == lengths[last] {
 			r.prefixCached = true
 		}
 	}
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -37,6 +37,8 @@
 	suspectUntil    time.Time
 	// leaving is set once the endpoint reported that it is about to stop.
 	leaving bool
+	// refusesUntil is until when the endpoint wants no requests of this gateway.
+	refusesUntil time.Time
 }
 
 func newNode() *node { return &node{cache: newPrefixCache()} }
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -158,6 +158,9 @@
 	cacheUpdates []CacheUpdate
 	// departures holds the endpoints that reported that they are about to stop.
 	departures *sqdeparture.Log
+	// refusals holds until when endpoints want no requests of this gateway, by identity. An
+	// endpoint that is not listed for a moment keeps its entry.
+	refusals map[string]time.Time
 }
 
 // pool holds the endpoints of a service and the latencies observed at them.
@@ -175,6 +178,7 @@
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
+		refusals: map[string]time.Time{},
 	}
 }
 
@@ -189,7 +193,7 @@
 		n := p.nodes[e.ID()]
 		if n == nil {
 			n = newNode()
-			n.leaving = p.departures.Contains(e.ID())
+			n.leaving, n.refusesUntil = p.departures.Contains(e.ID()), p.refusals[e.ID()]
 		}
 		n.endpoint = e
 		nodes[e.ID()] = n
--- a/core/sqtrace/advice.go
+++ b/core/sqtrace/advice.go
@@ -8,7 +8,7 @@
 		"requests of other gateways queued before it, or is slow."
 	adviceUnavailable = "Refused, it has not run. The reason says what was missing: for a missing lease holder, look at the log lines of the gateway and the " +
 		"coordinators; for a deadline that cannot be met, look at the load of the service; for a quarantined part of the prompt, look at the log lines of its " +
-		"quarantine and of the endpoints that crashed before."
+		"quarantine and of the endpoints that crashed before; for endpoints that refuse requests, look at the lines 6020 of the service's endpoints."
 	adviceUnknownRouteOrKey = "Refused, it has not run: the routing table of that version has no such route or key. Look for the version that removed it."
 	adviceDeadlineExceeded  = "Ended at its deadline. Look for other lines of the same endpoint: many for it alone mean that it is unhealthy, many for all " +
 		"endpoints of the service mean that the service lacks capacity."
--- a/io/sqlink/sqlink.go
+++ b/io/sqlink/sqlink.go
@@ -54,6 +54,9 @@
 	// Matches reports whether the status and headers of a response belong to the
 	// request. A nil Matches accepts every response.
 	Matches func(status int, h http.Header) bool
+	// Allowed reports, once a connection is open, whether the request may still be sent. A
+	// nil Allowed always permits it.
+	Allowed func() bool
 	// MaxIdle limits how long a reused connection may have been idle; 0 means that
 	// only the endpoint's idle timeout applies.
 	MaxIdle time.Duration
@@ -91,7 +94,7 @@
 
 // Do sends a call and returns its response once the headers are read. The caller
 // must close the response. The kind of an error is Unreachable with execution NotRun
-// if nothing was sent, Overloaded if all connections are in use, BadResponse if the
+// if nothing was sent, Overloaded if all connections are in use or Allowed returned false, BadResponse if the
 // response is malformed or belongs to another request, Canceled if ctx ended, and
 // EndpointFailed otherwise. When ctx ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Response, error) {
@@ -99,6 +102,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if call.Allowed != nil && !call.Allowed() {
+		p.discard(call.Endpoint, c)
+		return nil, sqerror.New(sqerror.Config{
+			Kind: sqerror.Overloaded, Execution: sqerror.NotRun, Detail: "the endpoint takes no requests any more",
+		})
+	}
 	stopCancel := context.AfterFunc(ctx, c.cancel)
 	r, err := c.roundTrip(call)
 	if err != nil {
--- a/io/sqlink/sqlink_test.go
+++ b/io/sqlink/sqlink_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -303,3 +306,25 @@
 	assert.Assert(t, time.Since(start) < 900*time.Millisecond)
 	assert.Equal(t, p.OpenConnections(), 0)
 }
+
+// TestNotAllowedIsNotSent checks that a request which Allowed forbids after the connection
+// was opened is not sent, and that its slot is free again.
+func TestNotAllowedIsNotSent(t *testing.T) {
+	var received atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer srv.Close()
+	p := NewPool()
+	call := &Call{
+		Endpoint: "e", Address: srv.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
+		Allowed: func() bool { return false }, MaxConnections: 1,
+	}
+	for range 3 {
+		_, err := p.Do(context.Background(), call)
+		assert.Equal(t, sqerror.KindOf(err), sqerror.Overloaded)
+		var e *sqerror.Error
+		assert.Assert(t, errors.As(err, &e))
+		assert.Equal(t, e.Execution(), sqerror.NotRun)
+	}
+	assert.Equal(t, p.OpenConnections(), 0)
+	assert.Equal(t, received.Load(), int64(0))
+}
