The holder heeds an engine that says it leaves or refuses requests

Cause: around a change of an engine's stage the holder reads the engine's state, ten times in two seconds, whatever the engine says.

--- a/app/sqcoordinator/departures.go
+++ b/app/sqcoordinator/departures.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
+	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqrpc"
 )
 
@@ -13,13 +15,30 @@
 // hold mu.
 func (c *coordinator) recordDepartures(now time.Time, t *termState, req *sqrpc.BeatRequest) {
 	for _, id := range req.GetLeavingEndpoints() {
-		if t.departures.Record(now, id) {
-			t.fleetRevision++
-			c.log.Event(sqevent.DepartureReported, id, req.GetGateway(), t.fleetRevision)
-		}
+		c.recordDeparture(now, t, id, req.GetGateway())
 	}
 }
 
+// recordDeparture records an endpoint that is about to stop and the process that read its
+// response. The caller must hold mu.
+func (c *coordinator) recordDeparture(now time.Time, t *termState, id, reportedBy string) {
+	if t.departures.Record(now, id) {
+		t.fleetRevision++
+		c.log.Event(sqevent.DepartureReported, id, reportedBy, t.fleetRevision)
+	}
+}
+
+// recordEngineLeaving records that an engine which this process called is about to stop, if
+// the call's error says so.
+func (c *coordinator) recordEngineLeaving(t *termState, e *sqplace.Endpoint, err error) {
+	if sqerror.KindOf(err) != sqerror.Leaving {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordDeparture(sqclock.Now(), t, e.ID(), c.cfg.Name)
+}
+
 // forgetDepartures forgets the endpoints that have not been listed for some time. The
 // caller must hold mu.
 func (c *coordinator) forgetDepartures(now time.Time, t *termState, list []sqplace.Endpoint) {
--- a/app/sqcoordinator/departures_test.go
+++ b/app/sqcoordinator/departures_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	sqcore "sequoiadock/core"
+	"sequoiadock/core/sqerror"
+	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqtable"
+	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqrpc"
 )
 
@@ -75,3 +81,54 @@
 	assert.Equal(t, record(i1), first+3)
 	assert.Assert(t, ts.endpointsForGateways()[0].Draining(), "the list is older than the report")
 }
+
+// absentEngines are engines that respond to each call with the next error, then with none.
+type absentEngines struct {
+	sqcore.Engines
+	errs    []error
+	callsAt []time.Time
+}
+
+func (a *absentEngines) AcceptedOrders(context.Context, *sqplace.Endpoint) (uint64, bool, error) {
+	a.callsAt = append(a.callsAt, time.Now())
+	if len(a.errs) == 0 {
+		return 0, false, nil
+	}
+	err := a.errs[0]
+	a.errs = a.errs[1:]
+	return 0, false, err
+}
+
+// newPlannedTerm returns the state of a term that has a routing table.
+func newPlannedTerm(t *testing.T) *termState {
+	t.Helper()
+	ts := newTermState(time.Now(), 2, time.Second)
+	table, err := sqtable.New(sqtable.Config{Version: 1})
+	assert.NilError(t, err)
+	ts.orders.table = table
+	return ts
+}
+
+// TestHolderPollsEngineThatRefuses fails if the holder calls an engine before the time that its Retry-After names.
+func TestHolderPollsEngineThatRefuses(t *testing.T) {
+	t.Parallel()
+	wait := 3 * stagePollInterval
+	engines := &absentEngines{errs: []error{sqerror.New(sqerror.Config{Kind: sqerror.Overloaded, RetryAfter: wait})}}
+	c := &coordinator{engines: engines}
+	c.awaitStageChange(t.Context(), newPlannedTerm(t), &sqplace.Endpoint{})
+	assert.Equal(t, len(engines.callsAt), 2)
+	assert.Assert(t, engines.callsAt[1].Sub(engines.callsAt[0]) >= wait)
+}
+
+// TestHolderIgnoresLeavingEngine fails if the holder goes on calling an engine that tells it that it is about to stop, or keeps that to itself.
+func TestHolderIgnoresLeavingEngine(t *testing.T) {
+	t.Parallel()
+	engines := &absentEngines{errs: []error{sqerror.New(sqerror.Config{Kind: sqerror.Leaving}), nil}}
+	c := &coordinator{engines: engines, log: sqlog.New(sqlog.Config{Name: "c", Output: io.Discard, Level: sqevent.Error})}
+	ts := newPlannedTerm(t)
+	e := sqplace.NewEndpoint(sqplace.EndpointConfig{ID: "i1", Service: "engines"})
+	ts.fleet = []sqplace.Endpoint{e}
+	c.awaitStageChange(t.Context(), ts, &e)
+	assert.Equal(t, len(engines.callsAt), 1)
+	assert.Assert(t, ts.endpointsForGateways()[0].Draining())
+}
--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -224,6 +224,7 @@
 	err := c.sendStageOrder(ctx, t, change)
 	if err != nil {
 		c.log.Event(sqevent.StageRefused, e.ID(), change.Stage.String(), err.Error())
+		c.recordEngineLeaving(t, e, err)
 	} else {
 		c.log.Event(sqevent.StageOrdered, e.ID(), change.Stage.String(), change.Reason)
 		c.awaitStageChange(ctx, t, e)
@@ -260,7 +261,9 @@
 	sqclock.Sleep(ctx, switchTime)
 	for range maxStagePolls {
 		_, busy, err := c.engines.AcceptedOrders(ctx, e)
-		if err == nil && !busy || !sqclock.Sleep(ctx, stagePollInterval) {
+		c.recordEngineLeaving(t, e, err)
+		done := err == nil && !busy || sqerror.KindOf(err) == sqerror.Leaving
+		if done || !sqclock.Sleep(ctx, max(stagePollInterval, sqerror.RetryAfterOf(err))) {
 			return
 		}
 	}
--- a/core/platform.go
+++ b/core/platform.go
@@ -26,7 +26,9 @@
 // Engines is the client of the engines' own control interface.
 type Engines interface {
 	// AcceptedOrders returns how many orders the engine has accepted, and whether
-	// the engine is carrying one out.
+	// the engine is carrying one out. The error is of kind Leaving if the engine is
+	// about to stop, and of kind Overloaded if it refuses requests, for as long as the
+	// error's RetryAfter says.
 	AcceptedOrders(ctx context.Context, e *sqplace.Endpoint) (accepted uint64, busy bool, err error)
 	// SetStage orders the engine to change its stage, on condition that the engine
 	// has accepted exactly that many orders so far. The error is of kind
--- a/core/sqerror/kind.go
+++ b/core/sqerror/kind.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"time"
 )
 
 // Kind is the number of a kind of failure. Numbers are stable, since responses to
@@ -149,3 +150,12 @@
 	}
 	return None
 }
+
+// RetryAfterOf returns how long to wait before the next try after err; 0 if it does not say.
+func RetryAfterOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.RetryAfter()
+	}
+	return 0
+}
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -22,7 +22,7 @@
 	PartQuarantined            = Event{5019, Warn, "part of prompts quarantined, endpoints crashed under it", []string{"service", "part", "times", "termMillis"}}
 	PartReleased               = Event{5020, Info, "part of prompts released, a request with it was answered", []string{"service", "part"}}
 	ServiceLoad                = Event{5017, Info, "service load", []string{"service", "stage", "endpoints", "away", "running", "unreadTokens"}}
-	DepartureReported          = Event{5021, Info, "endpoint is about to stop, as a gateway reports", []string{"endpoint", "gateway", "revision"}}
+	DepartureReported          = Event{5021, Info, "endpoint is about to stop, as a response of it said", []string{"endpoint", "reportedBy", "revision"}}
 	DepartureForgottenByHolder = Event{5022, Info, "endpoint that was reported to stop is no longer listed and is forgotten", []string{"endpoint"}}
 	StageRefused               = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
