No heartbeat of its own for a departure

Each gateway stops sending by itself, so the others need not know at once; when a zone is reclaimed, a heartbeat for each engine and gateway would only load the holder. Measured: the tests of app/sqgateway and platform pass.

--- a/app/sqgateway/availability.go
+++ b/app/sqgateway/availability.go
@@ -32,7 +32,7 @@
 }
 
 // recordLeaving records that an endpoint reported that it is about to stop. The next
-// heartbeat, which is sent at once, tells the lease holder and with it all gateways.
+// heartbeat tells the lease holder and with it all gateways.
 func (g *gateway) recordLeaving(now time.Time, e *sqplace.Endpoint) {
 	g.mu.Lock()
 	isNew := g.placer.RecordLeaving(now, e.ID())
@@ -42,7 +42,6 @@
 	}
 	g.metrics.leavingEndpoints.Inc()
 	g.log.Event(sqevent.EndpointLeaving, e.ID(), e.Service(), e.Address())
-	g.triggerHeartbeat()
 }
 
 // recordRefusal records how long an endpoint that responded with 503 wants no requests of
