--- a/app/sqgateway/leaving_test.go
+++ b/app/sqgateway/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -67,3 +68,34 @@
 	}
 	assert.Equal(t, len(leaving.requests()), 1)
 }
+
+// TestGatewayOutOfTouchSendsToLeavingEndpoint fails if an endpoint gets a request after its answer while the lease holder does not respond.
+func TestGatewayOutOfTouchSendsToLeavingEndpoint(t *testing.T) {
+	leaving, other := newFakeEndpoint(t, leavingHandler(signedHandler("x"))), newFakeEndpoint(t, signedHandler("x"))
+	s := newTestSystem(t, leaving.fleetEntry("i1", "ledger", sqplace.AnyStage), other.fleetEntry("i2", "ledger", sqplace.AnyStage))
+	s.holder.update(func() { s.holder.notHolder = true })
+	repeatUntilReached(t, leaving, func() { s.call(t, http.MethodGet, "/read/x", "") })
+	for range 30 {
+		res, _, _ := s.call(t, http.MethodGet, "/read/x", "")
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, len(leaving.requests()), 1)
+	s.holder.update(func() { s.holder.notHolder = false })
+	waitFor(t, func() bool {
+		reported := false
+		s.holder.update(func() { reported = len(s.holder.lastRequest.GetLeavingEndpoints()) == 1 })
+		return reported
+	})
+}
+
+// TestPrefillEngineThatLeavesGetsPrompts fails if a prefill engine gets a prompt after it has said that it leaves.
+func TestPrefillEngineThatLeavesGetsPrompts(t *testing.T) {
+	leaving := newFakeEndpoint(t, leavingHandler(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("handle h")) }))
+	decode := newFakeEndpoint(t, engineHandler(0))
+	s := newTestSystem(t, leaving.fleetEntry("p1", "engines", sqplace.Prefill), decode.fleetEntry("d1", "engines", sqplace.Decode))
+	for i := range 20 {
+		res, _, _ := s.call(t, http.MethodPost, "/ask/x", "prompt", "X-Tokens", "20000", "X-Subject", strconv.Itoa(i))
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, len(leaving.requests()), 1)
+}
--- a/app/sqgateway/turnedaway_test.go
+++ b/app/sqgateway/turnedaway_test.go
@@ -61,8 +61,8 @@
 func TestPromptsGoToEngineThatTurnsThemAway(t *testing.T) {
 	busy, decode := newFakeEndpoint(t, turnAwayHandler(seconds("30"))), newFakeEndpoint(t, engineHandler(0))
 	s := newTestSystem(t, busy.fleetEntry("p1", "engines", sqplace.Prefill), decode.fleetEntry("d1", "engines", sqplace.Decode))
-	for range 20 {
-		res, _, _ := s.call(t, http.MethodPost, "/ask/x", "prompt", "X-Tokens", "20000", "X-Subject", "s")
+	for i := range 20 {
+		res, _, _ := s.call(t, http.MethodPost, "/ask/x", "prompt", "X-Tokens", "20000", "X-Subject", strconv.Itoa(i))
 		assert.Equal(t, res.StatusCode, http.StatusOK)
 	}
 	assert.Equal(t, len(busy.requests()), 1)
--- a/core/sqplace/sqplace_test.go
+++ b/core/sqplace/sqplace_test.go
@@ -13,7 +13,7 @@
 
 var start = time.Unix(1000, 0)
 
-func testServices(t *testing.T) []*sqtable.Service {
+func testServices(t testing.TB) []*sqtable.Service {
 	t.Helper()
 	table, err := sqtable.New(sqtable.Config{Version: 1, Services: []sqtable.ServiceConfig{
 		{Name: "engines", Engine: &sqtable.Engine{Slots: 16, KVCapacityTokens: 400_000, KVBytesPerToken: 327_680, LinkMbps: 1_600_000}},
@@ -31,7 +31,7 @@
 	return NewEndpoint(EndpointConfig{ID: id, Service: "ledger", Address: "10.0.0.2:1", Zone: zone, Slots: 6})
 }
 
-func newPlacer(t *testing.T, fleet ...Endpoint) *Placer {
+func newPlacer(t testing.TB, fleet ...Endpoint) *Placer {
 	t.Helper()
 	p := New(Config{Zone: "a", Seed: 1})
 	p.SetServices(testServices(t))
