--- a/core/house_test.go
+++ b/core/house_test.go
@@ -90,6 +90,25 @@
 // clockCalls are the functions of package time that read the clock or wait.
 var clockCalls = []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick"}
 
+// goroutinesAndClockCalls returns a fault for each goroutine that the file starts and each
+// call of clockCalls.
+func goroutinesAndClockCalls(s source) []string {
+	var faults []string
+	ast.Inspect(s.file, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			faults = append(faults, s.path+" starts a goroutine")
+		case *ast.SelectorExpr:
+			x, ok := n.X.(*ast.Ident)
+			if ok && x.Name == "time" && slices.Contains(clockCalls, n.Sel.Name) {
+				faults = append(faults, s.path+" calls time."+n.Sel.Name)
+			}
+		}
+		return true
+	})
+	return faults
+}
+
 // ioPackages are the packages that core must not import because they do I/O, wait or
 // share state between goroutines.
 var ioPackages = []string{"os", "net", "net/http", "io/fs", "sync", "sync/atomic", "syscall", "os/exec", "os/signal", "math/rand"}
@@ -109,18 +128,7 @@
 				faults = append(faults, s.path+" imports "+name)
 			}
 		}
-		ast.Inspect(s.file, func(n ast.Node) bool {
-			switch n := n.(type) {
-			case *ast.GoStmt:
-				faults = append(faults, s.path+" starts a goroutine")
-			case *ast.SelectorExpr:
-				x, ok := n.X.(*ast.Ident)
-				if ok && x.Name == "time" && slices.Contains(clockCalls, n.Sel.Name) {
-					faults = append(faults, s.path+" calls time."+n.Sel.Name)
-				}
-			}
-			return true
-		})
+		faults = append(faults, goroutinesAndClockCalls(s)...)
 	}
 	report(t, faults)
 }
@@ -197,18 +205,7 @@
 				faults = append(faults, s.path+" imports "+name)
 			}
 		}
-		ast.Inspect(s.file, func(n ast.Node) bool {
-			switch n := n.(type) {
-			case *ast.GoStmt:
-				faults = append(faults, s.path+" starts a goroutine")
-			case *ast.SelectorExpr:
-				x, ok := n.X.(*ast.Ident)
-				if ok && x.Name == "time" && slices.Contains(clockCalls, n.Sel.Name) {
-					faults = append(faults, s.path+" calls time."+n.Sel.Name)
-				}
-			}
-			return true
-		})
+		faults = append(faults, goroutinesAndClockCalls(s)...)
 	}
 	if lines > maxAdapterLines {
 		faults = append(faults, "the adapter has "+strconv.Itoa(lines)+" lines; move its decisions into core or app")
--- a/standin/sqplatform/vm.go
+++ b/standin/sqplatform/vm.go
@@ -164,13 +164,20 @@
 	if err := sqserver.Decode(c, &q); err != nil {
 		return err
 	}
+	return p.changeVM(c, q.VM, func(v *vm) {
+		p.startRemoval(v, time.Duration(q.NoticeMillis)*time.Millisecond, "withdrawn")
+	})
+}
+
+// changeVM calls change with the VM of a request, or responds that there is none.
+func (p *Platform) changeVM(c echo.Context, id string, change func(v *vm)) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v := p.find(q.VM)
+	v := p.find(id)
 	if v == nil {
 		return c.NoContent(http.StatusNotFound)
 	}
-	p.startRemoval(v, time.Duration(q.NoticeMillis)*time.Millisecond, "withdrawn")
+	change(v)
 	return c.NoContent(http.StatusNoContent)
 }
 
@@ -186,14 +193,9 @@
 	if err := sqserver.Decode(c, &q); err != nil {
 		return err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	v := p.find(q.VM)
-	if v == nil {
-		return c.NoContent(http.StatusNotFound)
-	}
-	v.Address = q.Address
-	p.listHistory = nil
-	p.storeList(time.Now())
-	return c.NoContent(http.StatusNoContent)
+	return p.changeVM(c, q.VM, func(v *vm) {
+		v.Address = q.Address
+		p.listHistory = nil
+		p.storeList(time.Now())
+	})
 }
