The median of clocks and old counts are not gone through at each heartbeat

Cause: each heartbeat sorted the clock readings of all gateways, twice, and went through all counts for those a minute old.

--- a/core/sqoffset/sqoffset_test.go
+++ b/core/sqoffset/sqoffset_test.go
@@ -29,3 +29,18 @@
 	assert.Equal(t, e.Time(now.Add(time.Second)).Unix(), int64(99))
 	assert.Equal(t, e.Time(now.Add(time.Minute)), now.Add(time.Minute))
 }
+
+// TestMedianIsKept checks that the median is made anew when a further VM reports, and when
+// it is older than medianInterval.
+func TestMedianIsKept(t *testing.T) {
+	now := time.Unix(50, 0)
+	e := New()
+	e.Record(now, "a", now.Add(time.Hour))
+	assert.Equal(t, e.Time(now), now.Add(time.Hour))
+	e.Record(now, "a", now.Add(2*time.Hour))
+	assert.Equal(t, e.Time(now), now.Add(time.Hour))
+	now = now.Add(medianInterval)
+	assert.Equal(t, e.Time(now), now.Add(2*time.Hour))
+	e.Record(now, "b", now.Add(3*time.Hour))
+	assert.Equal(t, e.Time(now), now.Add(3*time.Hour))
+}
--- a/core/sqwindow/collector.go
+++ b/core/sqwindow/collector.go
@@ -17,6 +17,8 @@
 	takeoverDelay = 1500 * time.Millisecond
 	// runRetention is how long the counts of a gateway that does not report are kept.
 	runRetention = time.Minute
+	// pruneInterval is the period of deleting counts that are older than that.
+	pruneInterval = time.Second
 )
 
 // Collector sums the counts of all gateways. It is not safe for concurrent use.
@@ -25,6 +27,8 @@
 	startedAt   time.Time
 	firstWindow uint64
 	runs        map[string]*gatewayRun
+	// prunedAt is when old runs were last deleted.
+	prunedAt time.Time
 }
 
 // gatewayRun holds the latest report of one run of a gateway's process.
@@ -54,6 +58,14 @@
 		c.runs[runID] = r
 	}
 	r.counts, r.receivedAt, r.ended = counts, now, leaving
+	if now.Sub(c.prunedAt) >= pruneInterval {
+		c.prune(now)
+	}
+}
+
+// prune deletes the runs that have been silent for longer than runRetention.
+func (c *Collector) prune(now time.Time) {
+	c.prunedAt = now
 	for runID, r := range c.runs {
 		if now.Sub(r.receivedAt) > runRetention {
 			delete(c.runs, runID)
