--- a/app/sqgateway/turnedaway_test.go
+++ b/app/sqgateway/refusal_test.go
@@ -11,9 +11,9 @@
 	"sequoiadock/core/sqplace"
 )
 
-// turnAwayHandler returns a handler that declines requests with the value of Retry-After
+// refusingHandler returns a handler that declines requests with the value of Retry-After
 // that the function returns.
-func turnAwayHandler(retryAfter func() string) http.HandlerFunc {
+func refusingHandler(retryAfter func() string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Retry-After", retryAfter())
 		declineHandler(w, r)
@@ -22,12 +22,12 @@
 
 func seconds(s string) func() string { return func() string { return s } }
 
-// TestRequestsGoToEndpointThatTurnsThemAway fails if an endpoint gets a request before the time that its Retry-After names.
-func TestRequestsGoToEndpointThatTurnsThemAway(t *testing.T) {
+// TestRequestsGoToRefusingEndpoint fails if an endpoint gets a request before the time that its Retry-After names.
+func TestRequestsGoToRefusingEndpoint(t *testing.T) {
 	for name, handler := range map[string]http.HandlerFunc{
-		"seconds":  turnAwayHandler(seconds("2")),
-		"fraction": turnAwayHandler(seconds("1.75")),
-		"date": turnAwayHandler(func() string {
+		"seconds":  refusingHandler(seconds("2")),
+		"fraction": refusingHandler(seconds("1.75")),
+		"date": refusingHandler(func() string {
 			return time.Now().Add(3 * time.Second).UTC().Format(http.TimeFormat)
 		}),
 		"undeclared": func(w http.ResponseWriter, _ *http.Request) {
@@ -57,9 +57,9 @@
 	}
 }
 
-// TestPromptsGoToEngineThatTurnsThemAway fails if a prefill engine gets a prompt before the time that its Retry-After names.
-func TestPromptsGoToEngineThatTurnsThemAway(t *testing.T) {
-	busy, decode := newFakeEndpoint(t, turnAwayHandler(seconds("30"))), newFakeEndpoint(t, engineHandler(0))
+// TestPromptsGoToRefusingEngine fails if a prefill engine gets a prompt before the time that its Retry-After names.
+func TestPromptsGoToRefusingEngine(t *testing.T) {
+	busy, decode := newFakeEndpoint(t, refusingHandler(seconds("30"))), newFakeEndpoint(t, engineHandler(0))
 	s := newTestSystem(t, busy.fleetEntry("p1", "engines", sqplace.Prefill), decode.fleetEntry("d1", "engines", sqplace.Decode))
 	for i := range 20 {
 		res, _, _ := s.call(t, http.MethodPost, "/ask/x", "prompt", "X-Tokens", "20000", "X-Subject", strconv.Itoa(i))
@@ -70,7 +70,7 @@
 
 // TestCallersReturnBeforeEndpointsTakeRequests fails if callers are told to return too early, or all at the same time.
 func TestCallersReturnBeforeEndpointsTakeRequests(t *testing.T) {
-	e1, e2 := newFakeEndpoint(t, turnAwayHandler(seconds("20"))), newFakeEndpoint(t, turnAwayHandler(seconds("4")))
+	e1, e2 := newFakeEndpoint(t, refusingHandler(seconds("20"))), newFakeEndpoint(t, refusingHandler(seconds("4")))
 	s := newTestSystem(t, e1.fleetEntry("i1", "ledger", sqplace.AnyStage), e2.fleetEntry("i2", "ledger", sqplace.AnyStage))
 	for n := 0; len(e1.requests()) == 0 || len(e2.requests()) == 0; n++ {
 		assert.Assert(t, n < 100, "an endpoint got no request")
@@ -94,7 +94,7 @@
 // TestUnreadableRetryAfter checks that a value that cannot be read has no effect.
 func TestUnreadableRetryAfter(t *testing.T) {
 	for _, value := range []string{"soon", "-3", "NaN", "1e9999", "0x10", ""} {
-		e := newFakeEndpoint(t, turnAwayHandler(seconds(value)))
+		e := newFakeEndpoint(t, refusingHandler(seconds(value)))
 		s := newTestSystem(t, e.fleetEntry("i1", "ledger", sqplace.AnyStage))
 		for range 5 {
 			s.call(t, http.MethodGet, "/read/x", "")
