Sums of gateways' loads count their gateways

A sum that reached 0 by overflow would have been deleted while a gateway was in it, and its next heartbeat would have ended the holder; a sum goes with its last gateway now.

--- a/app/sqcoordinator/gateways.go
+++ b/app/sqcoordinator/gateways.go
@@ -1,7 +1,6 @@
 package sqcoordinator
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -29,8 +28,8 @@
 	runID      string
 	leaving    bool
 	lastBeatAt time.Time
-	// inFlight is the gateway's load by endpoint ID, without loads of 0. While counted is set,
-	// the registry's sums include it.
+	// inFlight is the gateway's load by endpoint ID. While counted is set, the registry's
+	// sums include it.
 	inFlight map[string]inFlight
 	counted  bool
 	// demand is cumulative since the gateway started, by service.
@@ -43,15 +42,20 @@
 	unreadTokens uint64
 }
 
+// inFlightSum is the sum of what a number of gateways have in flight at an endpoint.
+type inFlightSum struct {
+	inFlight
+	gateways int
+}
+
 // gatewayRegistry holds the gateways that send heartbeats. It keeps the sums over them up
 // to date, so that the cost of a heartbeat does not grow with the number of gateways. The
 // coordinator's mu guards it.
 type gatewayRegistry struct {
 	log    *sqlog.Log
 	byName map[string]*gateway
-	// inFlight sums the loads of the gateways that are not silent, by endpoint ID. Sums of 0
-	// stay until the next look for silent gateways.
-	inFlight map[string]*inFlight
+	// inFlight sums the loads of the gateways that are not silent, by endpoint ID.
+	inFlight map[string]*inFlightSum
 	// directory holds the gateways to which callers may be directed, sorted by address.
 	// directoryRevision changes with it.
 	directory         []*sqrpc.GatewayAddress
@@ -64,37 +68,26 @@
 
 func newGatewayRegistry(log *sqlog.Log, term uint64) *gatewayRegistry {
 	return &gatewayRegistry{
-		log: log, byName: map[string]*gateway{}, inFlight: map[string]*inFlight{}, directoryRevision: term << counterBits, changed: true,
+		log: log, byName: map[string]*gateway{}, inFlight: map[string]*inFlightSum{}, directoryRevision: term << counterBits, changed: true,
 	}
 }
 
 // record records a heartbeat. It returns the demand that the gateway reported before, and
 // nil if the gateway has just started.
 func (r *gatewayRegistry) record(now time.Time, req *sqrpc.BeatRequest, demand map[string]*sqrpc.ServiceDemand) map[string]*sqrpc.ServiceDemand {
-	gw := r.byName[req.GetGateway()]
-	if gw == nil || gw.runID != req.GetRun() {
-		if gw != nil {
-			r.uncount(gw)
-		}
-		gw = &gateway{runID: req.GetRun()}
-		r.byName[req.GetGateway()] = gw
-		r.changed = true
-		r.log.Event(sqevent.GatewayFound, req.GetGateway(), req.GetRun(), req.GetZone())
-	}
+	gw := r.gateway(req)
 	if req.GetLeaving() && !gw.leaving {
 		r.log.Event(sqevent.GatewayLeaving, req.GetGateway())
 	}
 	if req.GetLeaving() != gw.leaving || req.GetAddress() != gw.address.GetAddress() {
 		r.changed = true
 	}
-	r.uncount(gw)
 	gw.leaving, gw.lastBeatAt = req.GetLeaving(), now
 	gw.address = &sqrpc.GatewayAddress{Address: req.GetAddress(), Zone: req.GetZone(), Region: req.GetRegion()}
+	r.uncount(gw)
 	gw.inFlight = make(map[string]inFlight, len(req.GetLoads()))
 	for _, l := range req.GetLoads() {
-		if load := (inFlight{running: l.GetRunning(), unreadTokens: l.GetUnreadTokens()}); load != (inFlight{}) {
-			gw.inFlight[l.GetId()] = load
-		}
+		gw.inFlight[l.GetId()] = inFlight{running: l.GetRunning(), unreadTokens: l.GetUnreadTokens()}
 	}
 	r.count(gw)
 	previous := gw.demand
@@ -102,15 +95,32 @@
 	return previous
 }
 
+// gateway returns the gateway that sent the heartbeat. After a restart it is a new one.
+func (r *gatewayRegistry) gateway(req *sqrpc.BeatRequest) *gateway {
+	gw := r.byName[req.GetGateway()]
+	if gw != nil && gw.runID == req.GetRun() {
+		return gw
+	}
+	if gw != nil {
+		r.uncount(gw)
+	}
+	gw = &gateway{runID: req.GetRun()}
+	r.byName[req.GetGateway()] = gw
+	r.changed = true
+	r.log.Event(sqevent.GatewayFound, req.GetGateway(), req.GetRun(), req.GetZone())
+	return gw
+}
+
 // count adds the gateway's load to the sums.
 func (r *gatewayRegistry) count(gw *gateway) {
 	gw.counted = true
 	for id, l := range gw.inFlight {
 		sum := r.inFlight[id]
 		if sum == nil {
-			sum = &inFlight{}
+			sum = &inFlightSum{}
 			r.inFlight[id] = sum
 		}
+		sum.gateways++
 		sum.running += l.running
 		sum.unreadTokens += l.unreadTokens
 	}
@@ -124,8 +134,12 @@
 	gw.counted = false
 	for id, l := range gw.inFlight {
 		sum := r.inFlight[id]
+		sum.gateways--
 		sum.running -= l.running
 		sum.unreadTokens -= l.unreadTokens
+		if sum.gateways == 0 {
+			delete(r.inFlight, id)
+		}
 	}
 }
 
@@ -149,7 +163,6 @@
 			delete(r.byName, name)
 		}
 	}
-	maps.DeleteFunc(r.inFlight, func(_ string, sum *inFlight) bool { return *sum == inFlight{} })
 	slices.SortFunc(directory, func(a, b *sqrpc.GatewayAddress) int { return strings.Compare(a.GetAddress(), b.GetAddress()) })
 	if !slices.EqualFunc(directory, r.directory, sameAddress) {
 		r.directory = directory
@@ -170,8 +183,8 @@
 	others := make([]*sqrpc.InFlight, 0, len(r.inFlight))
 	messages := make([]sqrpc.InFlight, len(r.inFlight))
 	for id, sum := range r.inFlight {
-		l := own[id]
-		if *sum == l {
+		l, isOwn := own[id]
+		if isOwn && sum.gateways == 1 {
 			continue
 		}
 		m := &messages[len(others)]
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -52,7 +52,7 @@
 func (p *Placer) ChooseDecode(now time.Time, q *Query) Choice {
 	s := p.services[q.Service]
 	if s == nil {
-		return Choice{Reason: "no endpoint is listed for the service"}
+		return Choice{RetryAfter: maxRetryAfter / 3, Reason: "no endpoint is listed for the service"}
 	}
 	r := newRequest(now, q, s)
 	c := p.bestDecode(now, s, r, withoutStage(p.candidates(now, s, r), Prefill)).choice
