6002 and 6003 say how long a heartbeat took and how many bytes of its response came

The hypotheses of largeTable cannot be told apart by the logs. 6002 now has the time, the time of the first byte and the bytes received of a failed heartbeat; 6003 those of the response with the table, and the time that decoding took.

--- a/app/sqgateway/watch.go
+++ b/app/sqgateway/watch.go
@@ -9,6 +9,7 @@
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqtable"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqrpc"
 )
 
@@ -96,10 +97,11 @@
 	for {
 		interval := heartbeatInterval(g.view.Load().gatewayCount)
 		address := g.locator.Holder()
-		if err := g.sendHeartbeat(ctx, address); err != nil {
+		transferCtx, transfer := sqhttp.WithTransfer(ctx)
+		if err := g.sendHeartbeat(transferCtx, address, transfer); err != nil {
 			interval = heartbeatRetryInterval
 			sqrpc.ReportFailure(sqclock.Now(), g.locator, address, err)
-			g.logHeartbeatFailure(address, lastSuccessAt, err)
+			g.logHeartbeatFailure(address, lastSuccessAt, transfer, err)
 		} else {
 			lastSuccessAt = sqclock.Now()
 			if g.view.Load().fleetRevision == 0 {
@@ -121,11 +123,12 @@
 
 // logHeartbeatFailure logs failed heartbeats until the freshness lease expires, and
 // then the expiry, once.
-func (g *gateway) logHeartbeatFailure(address string, lastSuccessAt time.Time, err error) {
+func (g *gateway) logHeartbeatFailure(address string, lastSuccessAt time.Time, transfer *sqhttp.Transfer, err error) {
 	now := sqclock.Now()
 	v := g.view.Load()
 	if v.leaseHolder != "" {
-		g.log.Event(sqevent.HolderPollFailed, address, err.Error())
+		g.log.Event(sqevent.HolderPollFailed, address, err.Error(), transfer.Elapsed(now).Milliseconds(), transfer.FirstByte().Milliseconds(),
+			transfer.Bytes())
 	}
 	if v.leaseHolder == "" || v.fresh(now) {
 		return
@@ -138,7 +141,7 @@
 
 // sendHeartbeat reports the gateway's state to the lease holder and applies the
 // response.
-func (g *gateway) sendHeartbeat(ctx context.Context, address string) error {
+func (g *gateway) sendHeartbeat(ctx context.Context, address string, transfer *sqhttp.Transfer) error {
 	sentAt := sqclock.Now()
 	g.updateAvailability(sentAt)
 	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.coordinatorClient)
@@ -146,7 +149,7 @@
 	if err != nil {
 		return sqrpc.FromTwirp(err)
 	}
-	g.applyResponse(sentAt, sqclock.Now(), res)
+	g.applyResponse(sentAt, sqclock.Now(), transfer, res)
 	g.applyCacheUpdates(res)
 	return nil
 }
@@ -187,7 +190,7 @@
 // applyResponse replaces the view by one with the state in the lease holder's
 // response. The freshness lease starts at sentAt, because the lease holder read
 // its state after that.
-func (g *gateway) applyResponse(sentAt, receivedAt time.Time, res *sqrpc.BeatResponse) {
+func (g *gateway) applyResponse(sentAt, receivedAt time.Time, transfer *sqhttp.Transfer, res *sqrpc.BeatResponse) {
 	old := g.view.Load()
 	v := *old
 	if old.table != nil && res.GetTableVersion() < old.table.Version() {
@@ -195,7 +198,7 @@
 		g.log.Event(sqevent.TableUnreadable, res.GetTableVersion(), "older than the one in force")
 		return
 	}
-	if !g.applyTable(&v, res) {
+	if !g.applyTable(&v, receivedAt, transfer, res) {
 		return
 	}
 	g.applyFleet(&v, res)
@@ -227,7 +230,7 @@
 
 // applyTable decodes a new routing table into v, if there is one. It returns false
 // if the table is invalid.
-func (g *gateway) applyTable(v *view, res *sqrpc.BeatResponse) bool {
+func (g *gateway) applyTable(v *view, receivedAt time.Time, transfer *sqhttp.Transfer, res *sqrpc.BeatResponse) bool {
 	if len(res.GetTableDocument()) == 0 {
 		return true
 	}
@@ -240,7 +243,8 @@
 	g.mu.Lock()
 	g.placer.SetServices(table.Services())
 	g.mu.Unlock()
-	g.log.Event(sqevent.TableInForce, table.Version())
+	g.log.Event(sqevent.TableInForce, table.Version(), transfer.Bytes(), transfer.FirstByte().Milliseconds(),
+		transfer.Elapsed(receivedAt).Milliseconds(), sqclock.Now().Sub(receivedAt).Milliseconds())
 	return true
 }
 
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -4,8 +4,8 @@
 var (
 	GatewayLeaseGained   = Event{6000, Info, "gateway gained its freshness lease", []string{"holder", "version", "revision"}}
 	GatewayLeaseLost     = Event{6001, Warn, "gateway's freshness lease ran out, no answer from the holder", []string{"silentMillis", "error"}}
-	HolderPollFailed     = Event{6002, Warn, "coordinator did not answer as the lease holder", []string{"address", "error"}}
-	TableInForce         = Event{6003, Info, "routing table in force", []string{"version"}}
+	HolderPollFailed     = Event{6002, Warn, "coordinator did not answer as the lease holder", []string{"address", "error", "afterMillis", "firstByteMillis", "bytes"}}
+	TableInForce         = Event{6003, Info, "routing table in force", []string{"version", "bytes", "firstByteMillis", "transferMillis", "decodeMillis"}}
 	TableUnreadable      = Event{6004, Error, "routing table of the holder cannot be used", []string{"version", "error"}}
 	EndpointListInForce  = Event{6005, Info, "list of endpoints in force", []string{"revision", "endpoints"}}
 	RequestDone          = Event{6006, Info, "request answered", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "firstMillis", "totalMillis", "expectedMillis", "version", "framing"}}
--- a/io/sqhttp/sqhttp.go
+++ b/io/sqhttp/sqhttp.go
@@ -26,9 +26,9 @@
 // NewClient returns a client whose connects and requests are bounded by timeout.
 func NewClient(timeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: timeout}
-	return &http.Client{Timeout: timeout, Transport: &http.Transport{
+	return &http.Client{Timeout: timeout, Transport: meteredTransport{next: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}
+	}}}
 }
 
 // Shutdown stops srv and waits up to timeout for running requests to finish. It
