Failing test: a large table never arrives at a gateway on a slow link

2,850 routes, 790 KB, 10 Mbit/s as on the grown sites. On the current code the gateway still has the old table after 2.5 s, the bound that the sites state (configApplyMs).

--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -52,11 +52,14 @@
 	h.heartbeats++
 	h.crashes = append(h.crashes, req.GetCrashes()...)
 	res := &sqrpc.BeatResponse{
-		FreshMillis: uint32(h.freshFor.Milliseconds()), TableVersion: h.version, TableDocument: h.table,
+		FreshMillis: uint32(h.freshFor.Milliseconds()), TableVersion: h.version,
 		FleetRevision: h.revision, GatewayCount: 1, TrueUnixNano: time.Now().UnixNano(), Holder: "holder",
 		Suspects: h.suspects, Quarantines: h.quarantines,
 		Gateways: []*sqrpc.GatewayAddress{{Address: req.GetAddress(), Zone: req.GetZone()}},
 	}
+	if req.GetTableVersion() != h.version {
+		res.TableDocument = h.table
+	}
 	for i := range h.fleet {
 		res.Endpoints = append(res.Endpoints, sqrpc.FromEndpoint(&h.fleet[i]))
 	}
@@ -149,11 +152,22 @@
 
 // startTestSystem returns a gateway that has just started and need not be ready.
 func startTestSystem(t *testing.T, h *fakeLeaseHolder) *testSystem {
+	t.Helper()
+	return startTestSystemOnLink(t, h, nil)
+}
+
+// startTestSystemOnLink is startTestSystem with the link over which the lease holder
+// sends its responses. A nil link takes no time.
+func startTestSystemOnLink(t *testing.T, h *fakeLeaseHolder, l *link) *testSystem {
 	t.Helper()
 	mux := http.NewServeMux()
 	service := sqrpc.NewCoordinatorServer(h)
 	mux.Handle(service.PathPrefix(), service)
-	coordinatorServer := httptest.NewServer(mux)
+	coordinatorServer := httptest.NewUnstartedServer(mux)
+	if l != nil {
+		coordinatorServer.Listener = slowListener{Listener: coordinatorServer.Listener, link: l}
+	}
+	coordinatorServer.Start()
 	logs := &logBuffer{}
 	g := newGateway(Config{
 		Name: "g", Zone: "a", CallerAddress: "10.0.0.1:1", Seeds: []string{coordinatorServer.Listener.Addr().String()},
