Gateways fetch the routing table in compressed pieces, beside the heartbeats

Cause: the whole table came in the response to a heartbeat, which has 400 ms. What takes a link of 10 Mbit/s longer than that never arrives, since each attempt begins anew, and as the same response renews the freshness lease, the lease runs out too. A holder whose response is late counts as unreachable for 1.5 s besides. Class: the message that keeps a lease alive carries state without a bound.

Change: heartbeats name the version in force; a loop of its own fetches its compressed form in pieces of 32 KB at most (core/sqtransfer), goes on after a failure where it stopped, and asks for smaller pieces after a timeout. A version that is overtaken is fetched to its end, since the holder keeps the last ones, so quick changes do not starve a gateway. core/sqfreshness says until when a gateway may act on what it holds: a heartbeat that names a newer version does not renew the lease of the old one. Gateways that do not fetch still get the document with the heartbeat, so coordinators are updated first.

--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -110,6 +110,9 @@
 	// seeds points to the seeds of the settings in force.
 	seeds atomic.Pointer[[]string]
 
+	// tables holds what gateways fetch of the routing table.
+	tables tableStore
+
 	// quarantineDecisions passes decisions to commitQuarantines.
 	quarantineDecisions chan sqquarantine.Decision
 
--- a/app/sqcoordinator/heartbeat.go
+++ b/app/sqcoordinator/heartbeat.go
@@ -75,7 +75,7 @@
 	c.stateMachine.Read(func(s *sqstate.State) {
 		version, document := s.RoutingTable()
 		res.TableVersion = version
-		if version != req.GetTableVersion() {
+		if version != req.GetTableVersion() && !req.GetFetchesTable() {
 			res.TableDocument = document
 		}
 	})
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -19,6 +19,7 @@
 
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqfreshness"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqretry"
@@ -92,11 +93,15 @@
 	pool              *sqlink.Pool
 	locator           *sqlocate.Locator
 	coordinatorClient *http.Client
-	view              atomic.Pointer[view]
-	shuttingDown      atomic.Bool
-	heartbeatTrigger  chan struct{}
-	metrics           *gatewayMetrics
-	startedAt         time.Time
+	// view is replaced with viewMu held; freshness says until when it may be used.
+	view             atomic.Pointer[view]
+	viewMu           sync.Mutex
+	freshness        *sqfreshness.Lease
+	awaitedTables    chan awaitedTable
+	shuttingDown     atomic.Bool
+	heartbeatTrigger chan struct{}
+	metrics          *gatewayMetrics
+	startedAt        time.Time
 	// firstViewReceived is closed once the lease holder has sent a routing table and
 	// a list of endpoints; firstViewOnce closes it only once.
 	firstViewReceived chan struct{}
@@ -135,6 +140,8 @@
 		cfg: cfg, runID: hex.EncodeToString(seed[:]), log: cfg.Log, pool: sqlink.NewPool(),
 		locator: sqlocate.New(cfg.Seeds), heartbeatTrigger: make(chan struct{}, 1),
 		firstViewReceived: make(chan struct{}),
+		freshness:         sqfreshness.New(sqfreshness.Config{}),
+		awaitedTables:     make(chan awaitedTable, 1),
 		coordinatorClient: sqhttp.NewClient(heartbeatTimeout),
 		placer:            sqplace.New(sqplace.Config{Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:])}),
 		retryBudget:       sqretry.New(sqclock.Now(), cfg.Retry),
@@ -180,7 +187,7 @@
 	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){g.runHeartbeats, g.sweepConnections, g.applySeedUpdates} {
+	for _, loop := range []func(context.Context){g.runHeartbeats, g.fetchTables, g.sweepConnections, g.applySeedUpdates} {
 		loops.Go(func() { loop(loopCtx) })
 	}
 	g.log.Event(sqevent.Started, roleName, g.cfg.Name, g.cfg.Zone, g.cfg.CallerAddress)
--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -18,6 +18,7 @@
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqretry"
+	"sequoiadock/core/sqtransfer"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqrpc"
 )
@@ -30,6 +31,7 @@
 	notHolder bool
 	freshFor  time.Duration
 	table     []byte
+	tables    sqtransfer.Store
 	// version is the version of the table, revision that of the fleet.
 	version, revision uint64
 	fleet             []sqplace.Endpoint
@@ -57,15 +59,24 @@
 		Suspects: h.suspects, Quarantines: h.quarantines,
 		Gateways: []*sqrpc.GatewayAddress{{Address: req.GetAddress(), Zone: req.GetZone()}},
 	}
-	if req.GetTableVersion() != h.version {
-		res.TableDocument = h.table
-	}
 	for i := range h.fleet {
 		res.Endpoints = append(res.Endpoints, sqrpc.FromEndpoint(&h.fleet[i]))
 	}
 	return res, nil
 }
 
+// Table implements sqrpc.Coordinator.
+func (h *fakeLeaseHolder) Table(_ context.Context, req *sqrpc.TableRequest) (*sqrpc.TablePiece, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tables.Put(h.version, h.table)
+	p, ok := h.tables.Piece(req.GetVersion(), int(req.GetOffset()), int(req.GetMaxBytes()))
+	if !ok {
+		return nil, sqrpc.ToTwirp(sqerror.New(sqerror.Config{Kind: sqerror.NotHolder}))
+	}
+	return &sqrpc.TablePiece{Version: p.Version, Offset: uint64(p.Offset), TotalBytes: uint64(p.Total), Data: p.Data}, nil
+}
+
 // update calls f, which may read and write the fields, with the lock held.
 func (h *fakeLeaseHolder) update(f func()) {
 	h.mu.Lock()
@@ -178,16 +189,14 @@
 		DirectoryHandler: func(sqcore.Directory) http.Handler { return http.NotFoundHandler() },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		g.runHeartbeats(ctx)
-	}()
+	var loops sync.WaitGroup
+	loops.Go(func() { g.runHeartbeats(ctx) })
+	loops.Go(func() { g.fetchTables(ctx) })
 	callerServer := httptest.NewServer(g.callerHandler())
 	t.Cleanup(func() {
 		callerServer.Close()
 		cancel()
-		<-done
+		loops.Wait()
 		coordinatorServer.Close()
 	})
 	return &testSystem{holder: h, logs: logs, gateway: g, callerServer: callerServer}
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -16,7 +16,7 @@
 
 	answered, refused, failed, disconnected, resends, closeFramed, quarantined *metrics.Counter
 	leavingEndpoints, endpointRefusals                                         *metrics.Counter
-	firstEventSeconds, requestSeconds                                          *metrics.Histogram
+	firstEventSeconds, requestSeconds, tableSeconds                            *metrics.Histogram
 }
 
 func newGatewayMetrics(g *gateway) *gatewayMetrics {
@@ -34,6 +34,7 @@
 		endpointRefusals:  set.NewCounter("sequoiadock_gateway_endpoint_refusals"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
+		tableSeconds:      set.NewHistogram("sequoiadock_gateway_table_seconds"),
 	}
 	set.NewGauge("sequoiadock_gateway_running", func() float64 { return float64(m.running.Load()) })
 	set.NewGauge("sequoiadock_gateway_connections", func() float64 { return float64(g.pool.OpenConnections()) })
--- /dev/null
+++ b/app/sqgateway/view.go
@@ -0,0 +1,123 @@
+package sqgateway
+
+import (
+	"time"
+
+	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqquarantine"
+	"sequoiadock/core/sqtable"
+	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqrpc"
+)
+
+// view is an immutable snapshot of the state that the lease holder sent to the
+// gateway.
+type view struct {
+	table *sqtable.Table
+	// freshUntil is the end of the freshness lease, on the clock of sqclock.Now.
+	freshUntil time.Time
+	// lastHeardAt is the time of the last response from the lease holder, or that of
+	// the process start.
+	lastHeardAt   time.Time
+	fleetRevision uint64
+	// endpointIDs contains the IDs of all listed endpoints.
+	endpointIDs map[string]bool
+	// gateways are those to which callers may be directed, directoryRevision the revision
+	// of that list.
+	gateways          []*sqrpc.GatewayAddress
+	directoryRevision uint64
+	// gatewayCount is the number of gateways that share limits; 0 while unknown.
+	gatewayCount int
+	// clockOffset is the true time minus sqclock.Now.
+	clockOffset time.Duration
+	leaseHolder string
+	// suspects are the parts of prompts about whose answers the gateway reports, and
+	// quarantines those with which it sends no request, with the end of the term.
+	suspects    []sqquarantine.Part
+	quarantines map[sqquarantine.Part]time.Time
+}
+
+// fresh reports whether the gateway may act on the view: there is a routing table
+// and the freshness lease has not expired.
+func (v *view) fresh(now time.Time) bool { return v.table != nil && now.Before(v.freshUntil) }
+
+// retryAfter returns the Retry-After time of a request that is refused because the
+// view is not fresh. It is the time since the lease holder's last response, since
+// an outage probably lasts as long again as it has lasted.
+func (v *view) retryAfter(now time.Time) time.Duration {
+	return min(max(now.Sub(v.lastHeardAt), defaultRetryAfter), maxStaleRetryAfter)
+}
+
+// trueTime returns the lease holder's estimate of the true time at now.
+func (v *view) trueTime(now time.Time) time.Time { return now.Add(v.clockOffset) }
+
+// ready reports whether callers should connect to this gateway.
+func (g *gateway) ready() bool {
+	v := g.view.Load()
+	return !g.shuttingDown.Load() && v.fresh(sqclock.Now()) && v.fleetRevision != 0
+}
+
+// applyResponse replaces the view by one with the state in the lease holder's
+// response. The freshness lease counts from sentAt, because the lease holder read
+// its state after that.
+func (g *gateway) applyResponse(sentAt, receivedAt time.Time, res *sqrpc.BeatResponse) {
+	g.viewMu.Lock()
+	defer g.viewMu.Unlock()
+	old := g.view.Load()
+	v := *old
+	if !g.freshness.Record(sentAt, res.GetTableVersion(), time.Duration(res.GetFreshMillis())*time.Millisecond) {
+		// Table versions only increase, so the response is outdated.
+		g.log.Event(sqevent.TableUnreadable, res.GetTableVersion(), "older than the one in force")
+		return
+	}
+	g.applyFleet(&v, res)
+	g.applyQuarantines(receivedAt, &v, res)
+	v.freshUntil = g.freshness.Until()
+	v.lastHeardAt = receivedAt
+	if r := res.GetDirectoryRevision(); r == 0 || r != v.directoryRevision {
+		v.gateways, v.directoryRevision = res.GetGateways(), r
+	}
+	v.clockOffset = time.Duration(res.GetTrueUnixNano() - sentAt.Add(receivedAt.Sub(sentAt)/2).UnixNano())
+	if n := int(res.GetGatewayCount()); n > 0 {
+		v.gatewayCount = n
+	}
+	if v.leaseHolder != res.GetHolder() {
+		g.log.Event(sqevent.GatewayLeaseGained, res.GetHolder(), res.GetTableVersion(), res.GetFleetRevision())
+	}
+	v.leaseHolder = res.GetHolder()
+	g.locator.SetAddresses(res.GetControls())
+	g.mu.Lock()
+	g.retryBudget.SetGateways(v.gatewayCount)
+	g.placer.SetPeerLoads(loadsByEndpoint(res.GetOthers()))
+	g.evidence.Acknowledge(receivedAt, old.leaseHolder, res.GetHolder())
+	g.mu.Unlock()
+	g.storeView(&v)
+	g.awaitTable(receivedAt, g.freshness.Awaited())
+}
+
+// storeView replaces the view. The caller must hold viewMu.
+func (g *gateway) storeView(v *view) {
+	g.view.Store(v)
+	if v.table != nil && v.fleetRevision != 0 {
+		g.firstViewOnce.Do(func() { close(g.firstViewReceived) })
+	}
+}
+
+// applyFleet copies a new list of endpoints into v, if there is one.
+func (g *gateway) applyFleet(v *view, res *sqrpc.BeatResponse) {
+	if res.GetFleetRevision() == 0 || res.GetFleetRevision() == v.fleetRevision {
+		return
+	}
+	fleet := make([]sqplace.Endpoint, 0, len(res.GetEndpoints()))
+	v.endpointIDs = make(map[string]bool, len(res.GetEndpoints()))
+	for _, endpoint := range res.GetEndpoints() {
+		fleet = append(fleet, sqrpc.ToEndpoint(endpoint))
+		v.endpointIDs[endpoint.GetId()] = true
+	}
+	v.fleetRevision = res.GetFleetRevision()
+	g.mu.Lock()
+	g.placer.SetEndpoints(fleet)
+	g.mu.Unlock()
+	g.log.Event(sqevent.EndpointListInForce, v.fleetRevision, len(fleet))
+}
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -5,7 +5,7 @@
 	GatewayLeaseGained   = Event{6000, Info, "gateway gained its freshness lease", []string{"holder", "version", "revision"}}
 	GatewayLeaseLost     = Event{6001, Warn, "gateway's freshness lease ran out, no answer from the holder", []string{"silentMillis", "error"}}
 	HolderPollFailed     = Event{6002, Warn, "coordinator did not answer as the lease holder", []string{"address", "error", "afterMillis", "firstByteMillis", "bytes"}}
-	TableInForce         = Event{6003, Info, "routing table in force", []string{"version", "bytes", "firstByteMillis", "transferMillis", "decodeMillis"}}
+	TableInForce         = Event{6003, Info, "routing table in force", []string{"version", "bytes", "sentBytes", "knownMillis", "transferMillis", "decodeMillis", "failures"}}
 	TableUnreadable      = Event{6004, Error, "routing table of the holder cannot be used", []string{"version", "error"}}
 	EndpointListInForce  = Event{6005, Info, "list of endpoints in force", []string{"revision", "endpoints"}}
 	RequestDone          = Event{6006, Info, "request answered", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "firstMillis", "totalMillis", "expectedMillis", "version", "framing"}}
@@ -25,6 +25,7 @@
 	EndpointRefuses      = Event{6020, Info, "endpoint refuses requests with 503 and gets none until its Retry-After has passed", []string{"endpoint", "service", "retryAfterMillis"}}
 	EndpointRefusalEnded = Event{6021, Info, "time for which an endpoint refused requests has passed", []string{"endpoint"}}
 	RetryAfterUnreadable = Event{6022, Warn, "Retry-After of an endpoint cannot be read and is ignored", []string{"endpoint", "value"}}
+	TablePieceFailed     = Event{6023, Info, "piece of the routing table did not arrive and is fetched again", []string{"version", "offset", "size", "address", "afterMillis", "firstByteMillis", "bytes", "error"}}
 )
 
 var gatewayEvents = []Event{
@@ -32,4 +33,5 @@
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
 	EndpointLeaving, DepartureForgotten, EndpointRefuses, EndpointRefusalEnded, RetryAfterUnreadable,
+	TablePieceFailed,
 }
