Validating a routing table and finding a route no longer grow with the routes of a host

Each route was compared with all routes of its host before, and each request with all of them in turn.

Cause: the routes of a host were a list. Now a map by host and prefix; as a prefix ends with a slash, only the beginnings of the path that end with one are looked up, and none longer than the longest prefix, so a path of slashes costs nothing more.

--- a/core/sqtable/sqtable.go
+++ b/core/sqtable/sqtable.go
@@ -4,8 +4,6 @@
 package sqtable
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 
 	"sequoiadock/core/sqerror"
@@ -13,21 +11,25 @@
 
 // Table is one version of the routing table. It is immutable.
 type Table struct {
-	cfg Config
-	// routesByHost maps each host to its routes, longest path prefix first.
-	routesByHost map[string][]*Route
-	services     map[string]*Service
-	teamsByKey   map[string]*Team
+	cfg    Config
+	routes map[place]*Route
+	// longestPrefix is the length of the longest path prefix of all routes.
+	longestPrefix int
+	services      map[string]*Service
+	teamsByKey    map[string]*Team
 	// top maps each service to the most urgent priority (the lowest number)
 	// among its routes.
 	top map[string]int
 }
 
+// place is the host and path prefix of a route. No two routes share one.
+type place struct{ host, pathPrefix string }
+
 // New validates a declaration and returns its table. The error is of kind
 // BadRequest and describes the first problem found.
 func New(cfg Config) (*Table, error) {
 	t := &Table{
-		cfg: cfg, routesByHost: map[string][]*Route{}, services: map[string]*Service{}, teamsByKey: map[string]*Team{},
+		cfg: cfg, routes: make(map[place]*Route, len(cfg.Routes)), services: map[string]*Service{}, teamsByKey: map[string]*Team{},
 		top: map[string]int{},
 	}
 	if cfg.Version == 0 {
@@ -49,9 +51,6 @@
 			return nil, err
 		}
 	}
-	for _, routes := range t.routesByHost {
-		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.cfg.PathPrefix), len(a.cfg.PathPrefix)) })
-	}
 	return t, nil
 }
 
@@ -93,12 +92,12 @@
 	if total == 0 {
 		return invalid("the weights of route " + c.Name + " add up to 0")
 	}
-	for _, r := range t.routesByHost[c.Host] {
-		if r.cfg.PathPrefix == c.PathPrefix {
-			return invalid("routes " + r.cfg.Name + " and " + c.Name + " share host and prefix")
-		}
+	p := place{host: c.Host, pathPrefix: c.PathPrefix}
+	if other := t.routes[p]; other != nil {
+		return invalid("routes " + other.cfg.Name + " and " + c.Name + " share host and prefix")
 	}
-	t.routesByHost[c.Host] = append(t.routesByHost[c.Host], &Route{cfg: c, totalWeight: total})
+	t.routes[p] = &Route{cfg: c, totalWeight: total}
+	t.longestPrefix = max(t.longestPrefix, len(c.PathPrefix))
 	t.recordTopPriorities(c)
 	return nil
 }
@@ -137,10 +136,14 @@
 }
 
 // Match returns the route of a request, or nil if none matches. Among the
-// routes of the host, the one with the longest matching path prefix wins.
+// routes of the host, the one with the longest matching path prefix wins. As prefixes end
+// with a slash, only the beginnings of the path that end with one can be prefixes.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.routesByHost[hostName(host)] {
-		if strings.HasPrefix(path, r.cfg.PathPrefix) {
+	p := place{host: hostName(host)}
+	path = path[:min(len(path), t.longestPrefix)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		p.pathPrefix = path[:end+1]
+		if r := t.routes[p]; r != nil {
 			return r
 		}
 	}
--- a/core/sqtable/sqtable_test.go
+++ b/core/sqtable/sqtable_test.go
@@ -1,6 +1,7 @@
 package sqtable
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -32,6 +33,13 @@
 		{"HOST.example:8080", "/ask/deep/x", "deep"},
 		{"host.example", "/ask", "all"},
 		{"host.example", "/other", "all"},
+		{"host.example", "/", "all"},
+		{"host.example", "/ask/deep", "ask"},
+		{"host.example", "/ask//deep/", "ask"},
+		{"host.example", "/ask/deep//", "deep"},
+		{"host.example", "/ask/deep/" + strings.Repeat("/", 1<<16), "deep"},
+		{"host.example", "other", ""},
+		{"host.example", "", ""},
 		{"else.example", "/ask/x", ""},
 	} {
 		name := ""
