Failing test: a gateway goes on using a table that it knows to be outdated

A gateway that hears that a newer version is in force and cannot get it uses the old one until its freshness lease ends, 4 s after the last heartbeat that named the old one.

--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -32,6 +32,8 @@
 	freshFor  time.Duration
 	table     []byte
 	tables    sqtransfer.Store
+	// withholdTable is set if the holder names the version but does not send its table.
+	withholdTable bool
 	// version is the version of the table, revision that of the fleet.
 	version, revision uint64
 	fleet             []sqplace.Endpoint
@@ -69,6 +71,9 @@
 func (h *fakeLeaseHolder) Table(_ context.Context, req *sqrpc.TableRequest) (*sqrpc.TablePiece, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.withholdTable {
+		return nil, sqrpc.ToTwirp(sqerror.New(sqerror.Config{Kind: sqerror.NotHolder}))
+	}
 	h.tables.Put(h.version, h.table)
 	p, ok := h.tables.Piece(req.GetVersion(), int(req.GetOffset()), int(req.GetMaxBytes()))
 	if !ok {
--- a/app/sqgateway/largetable_test.go
+++ b/app/sqgateway/largetable_test.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqtable"
 )
 
@@ -60,3 +62,22 @@
 	time.Sleep(s.holder.freshFor)
 	assert.Assert(t, s.gateway.ready(), "the freshness lease ran out")
 }
+
+// TestOutdatedTableInUseWhileNewOneCannotArrive fails if a gateway handles requests by a table that it has long known to be outdated.
+func TestOutdatedTableInUseWhileNewOneCannotArrive(t *testing.T) {
+	t.Parallel()
+	e := newFakeEndpoint(t, signedHandler("read"))
+	s := newTestSystem(t, e.fleetEntry("i1", "ledger", sqplace.AnyStage))
+	_, body, _ := s.call(t, http.MethodGet, "/read/x", "")
+	assert.Equal(t, body, "read")
+	declaredAt := time.Now()
+	s.holder.update(func() { s.holder.version, s.holder.withholdTable = 12, true })
+	time.Sleep(time.Until(declaredAt.Add(tableApplyBound)))
+	res, _, _ := s.call(t, http.MethodGet, "/read/x", "")
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, !s.gateway.ready())
+	s.holder.update(func() { s.holder.table, s.holder.withholdTable = testTable(12), false })
+	waitFor(t, s.gateway.ready)
+	_, body, _ = s.call(t, http.MethodGet, "/read/x", "")
+	assert.Equal(t, body, "read")
+}
