A gateway stops using a routing table that it knows to be outdated

Cause: hearing that a newer version is in force made no difference to the time for which the old one was used, four fifths of revokeMillis after the last heartbeat that named it. So any delay of the new table, whatever its cause, became requests handled by the old one. Class: the promise of when a change is in force rested on how fast its transfer happens to be.

Change: once a newer version is known, the freshness lease of the old one ends four fifths of bounds.configApplyMillis (a new setting, 2,000 if missing) after the old one was last known to be the newest. The gateway then refuses with 503 and a short Retry-After, is unready, and logs 6024, until the table is there. A gateway that hears nothing keeps the longer lease, as before.

--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -50,6 +50,10 @@
 	idleTimeout   = 2 * time.Minute
 	// maxHeaderBytes is the maximum size of the headers of a request.
 	maxHeaderBytes = 64 << 10
+	// supersededPercent is the part of TableApplyTimeout for which a table is used after it
+	// was last known to be the newest, if a newer one is known. The rest covers requests
+	// that are being handled at the end.
+	supersededPercent = 80
 	// sweepInterval is the time between two calls of Pool.CloseIdle, which closes
 	// idle connections to endpoints.
 	sweepInterval = 500 * time.Millisecond
@@ -74,7 +78,10 @@
 	BillingWindow time.Duration
 	// StopGracePeriod is the maximum duration of a graceful shutdown.
 	StopGracePeriod time.Duration
-	Wire            sqcore.Wire
+	// TableApplyTimeout is the time within which an acknowledged routing table is in force
+	// at all gateways.
+	TableApplyTimeout time.Duration
+	Wire              sqcore.Wire
 	// DirectoryHandler returns the handler that tells callers the gateways'
 	// addresses. ReadyHandler returns the handler of the platform's readiness probe.
 	DirectoryHandler func(d sqcore.Directory) http.Handler
@@ -140,7 +147,7 @@
 		cfg: cfg, runID: hex.EncodeToString(seed[:]), log: cfg.Log, pool: sqlink.NewPool(),
 		locator: sqlocate.New(cfg.Seeds), heartbeatTrigger: make(chan struct{}, 1),
 		firstViewReceived: make(chan struct{}),
-		freshness:         sqfreshness.New(sqfreshness.Config{}),
+		freshness:         sqfreshness.New(sqfreshness.Config{MaxSuperseded: cfg.TableApplyTimeout * supersededPercent / 100}),
 		awaitedTables:     make(chan awaitedTable, 1),
 		coordinatorClient: sqhttp.NewClient(heartbeatTimeout),
 		placer:            sqplace.New(sqplace.Config{Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:])}),
--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -188,7 +188,7 @@
 	g := newGateway(Config{
 		Name: "g", Zone: "a", CallerAddress: "10.0.0.1:1", Seeds: []string{coordinatorServer.Listener.Addr().String()},
 		Retry:         sqretry.Config{Ratio: 10, Window: 10 * time.Second},
-		BillingWindow: 5 * time.Second, StopGracePeriod: 8 * time.Second, Wire: testWire{},
+		BillingWindow: 5 * time.Second, StopGracePeriod: 8 * time.Second, TableApplyTimeout: tableApplyBound, Wire: testWire{},
 		Log:              sqlog.New(sqlog.Config{Name: "g", Output: logs, Level: sqevent.Info}),
 		ReadyHandler:     func(func() bool) http.Handler { return http.NotFoundHandler() },
 		DirectoryHandler: func(sqcore.Directory) http.Handler { return http.NotFoundHandler() },
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -86,7 +86,7 @@
 	x.awaitFirstView()
 	v := x.g.view.Load()
 	if !v.fresh(x.receivedAt) {
-		x.refuse(http.StatusServiceUnavailable, reasonStale, v.retryAfter(x.receivedAt))
+		x.refuse(http.StatusServiceUnavailable, v.staleReason(), v.retryAfter(x.receivedAt))
 		return false
 	}
 	x.table = v.table
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -11,10 +11,6 @@
 	"sequoiadock/io/sqlink"
 )
 
-// reasonStale is the logged reason for refusals after the freshness lease has
-// expired.
-const reasonStale = "the gateway has not heard the holder"
-
 // dispatch sends the request to one endpoint after another until the caller has a
 // final response.
 func (x *request) dispatch() {
@@ -29,7 +25,7 @@
 	for {
 		now := sqclock.Now()
 		if v := x.g.view.Load(); !v.fresh(now) {
-			x.finishUnanswered(x.stepWithoutEndpoint(now), reasonStale, v.retryAfter(now))
+			x.finishUnanswered(x.stepWithoutEndpoint(now), v.staleReason(), v.retryAfter(now))
 			return
 		}
 		if x.refuseQuarantined(now) {
@@ -143,7 +139,7 @@
 	now := sqclock.Now()
 	if v := x.g.view.Load(); !v.fresh(now) {
 		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
-		x.finishUnanswered(x.stepWithoutEndpoint(now), reasonStale, v.retryAfter(now))
+		x.finishUnanswered(x.stepWithoutEndpoint(now), v.staleReason(), v.retryAfter(now))
 		return true
 	}
 	if x.refuseQuarantined(now) {
--- a/app/sqgateway/table.go
+++ b/app/sqgateway/table.go
@@ -143,6 +143,6 @@
 	g.mu.Unlock()
 	g.freshness.Hold(t.Version())
 	v := *g.view.Load()
-	v.table, v.freshUntil = t, g.freshness.Until()
+	v.table, v.freshUntil, v.outdated = t, g.freshness.Until(), false
 	g.storeView(&v)
 }
--- a/app/sqgateway/view.go
+++ b/app/sqgateway/view.go
@@ -17,6 +17,9 @@
 	table *sqtable.Table
 	// freshUntil is the end of the freshness lease, on the clock of sqclock.Now.
 	freshUntil time.Time
+	// outdated is set if the table may not be used any more since a newer one is in force
+	// that has not arrived.
+	outdated bool
 	// lastHeardAt is the time of the last response from the lease holder, or that of
 	// the process start.
 	lastHeardAt   time.Time
@@ -42,6 +45,14 @@
 // and the freshness lease has not expired.
 func (v *view) fresh(now time.Time) bool { return v.table != nil && now.Before(v.freshUntil) }
 
+// staleReason returns the logged reason for refusals while the view is not fresh.
+func (v *view) staleReason() string {
+	if v.outdated {
+		return "the gateway waits for a newer routing table"
+	}
+	return "the gateway has not heard the holder"
+}
+
 // retryAfter returns the Retry-After time of a request that is refused because the
 // view is not fresh. It is the time since the lease holder's last response, since
 // an outage probably lasts as long again as it has lasted.
@@ -74,6 +85,10 @@
 	g.applyFleet(&v, res)
 	g.applyQuarantines(receivedAt, &v, res)
 	v.freshUntil = g.freshness.Until()
+	if awaited := g.freshness.Awaited(); awaited != 0 && v.table != nil && !v.fresh(receivedAt) && !v.outdated {
+		v.outdated = true
+		g.log.Event(sqevent.TableOutdated, v.table.Version(), awaited)
+	}
 	v.lastHeardAt = receivedAt
 	if r := res.GetDirectoryRevision(); r == 0 || r != v.directoryRevision {
 		v.gateways, v.directoryRevision = res.GetGateways(), r
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -26,6 +26,7 @@
 	EndpointRefusalEnded = Event{6021, Info, "time for which an endpoint refused requests has passed", []string{"endpoint"}}
 	RetryAfterUnreadable = Event{6022, Warn, "Retry-After of an endpoint cannot be read and is ignored", []string{"endpoint", "value"}}
 	TablePieceFailed     = Event{6023, Info, "piece of the routing table did not arrive and is fetched again", []string{"version", "offset", "size", "address", "afterMillis", "firstByteMillis", "bytes", "error"}}
+	TableOutdated        = Event{6024, Warn, "routing table in use is outdated and the newer one has not arrived, requests are refused", []string{"version", "newer"}}
 )
 
 var gatewayEvents = []Event{
@@ -33,5 +34,5 @@
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
 	EndpointLeaving, DepartureForgotten, EndpointRefuses, EndpointRefusalEnded, RetryAfterUnreadable,
-	TablePieceFailed,
+	TablePieceFailed, TableOutdated,
 }
--- a/io/sqsettings/coordinator.go
+++ b/io/sqsettings/coordinator.go
@@ -99,6 +99,7 @@
 type Bounds struct {
 	revocationTimeout time.Duration
 	takeoverDelay     time.Duration
+	tableApplyTimeout time.Duration
 	billingWindow     time.Duration
 	stopGracePeriod   time.Duration
 	retryRatio        float64
@@ -113,6 +114,10 @@
 // platform.
 func (b Bounds) TakeoverDelay() time.Duration { return b.takeoverDelay }
 
+// TableApplyTimeout returns the time within which an acknowledged routing table is in
+// force at all gateways.
+func (b Bounds) TableApplyTimeout() time.Duration { return b.tableApplyTimeout }
+
 // BillingWindow returns the length of a billing window.
 func (b Bounds) BillingWindow() time.Duration { return b.billingWindow }
 
--- a/io/sqsettings/coordinatorfile.go
+++ b/io/sqsettings/coordinatorfile.go
@@ -25,6 +25,7 @@
 type boundsFile struct {
 	RevokeMillis       int64   `toml:"revokeMillis"`
 	LeaseMillis        int64   `toml:"leaseMillis"`
+	ConfigApplyMillis  int64   `toml:"configApplyMillis"`
 	WindowSeconds      float64 `toml:"windowSeconds"`
 	GraceSeconds       float64 `toml:"graceSeconds"`
 	RetryRatio         float64 `toml:"retryRatio"`
@@ -65,6 +66,7 @@
 	maxToleratedFailures     = 4
 	defaultRevocationTimeout = 5000 * time.Millisecond
 	defaultTakeoverDelay     = 3000 * time.Millisecond
+	defaultTableApplyTimeout = 2000 * time.Millisecond
 	defaultBillingWindow     = 5 * time.Second
 	defaultStopGracePeriod   = 8 * time.Second
 	defaultRetryRatio        = 0.1
@@ -127,6 +129,7 @@
 	return Bounds{
 		revocationTimeout: c.millis("bounds.revokeMillis", b.RevokeMillis, defaultRevocationTimeout, maxDuration),
 		takeoverDelay:     c.millis("bounds.leaseMillis", b.LeaseMillis, defaultTakeoverDelay, maxDuration),
+		tableApplyTimeout: c.millis("bounds.configApplyMillis", b.ConfigApplyMillis, defaultTableApplyTimeout, maxDuration),
 		billingWindow:     c.seconds("bounds.windowSeconds", b.WindowSeconds, defaultBillingWindow),
 		stopGracePeriod:   c.seconds("bounds.graceSeconds", b.GraceSeconds, defaultStopGracePeriod),
 		retryRatio:        c.nonNegative("bounds.retryRatio", b.RetryRatio, defaultRetryRatio),
