A new endpoint's time of being slow does not send the whole list at each poll

Change: an endpoint has the time until which it is slow, in the process's own clock; the holder keeps the one it has sent unless the platform corrects it by a second or more. At gateways the time now passes too; before, it stood still until the next list.

Measured: TestWaitingForSlowStartSendsListAgain fails without withSteadyCold.

--- a/app/sqcoordinator/departures_test.go
+++ b/app/sqcoordinator/departures_test.go
@@ -79,6 +79,24 @@
 	assert.Assert(t, ts.endpointsForGateways()[0].Draining(), "the list is older than the report")
 }
 
+// TestWaitingForSlowStartSendsListAgain fails if the passing of the time for which a new endpoint is slow sends the whole list again.
+func TestWaitingForSlowStartSendsListAgain(t *testing.T) {
+	t.Parallel()
+	c := newGroup(t, 1).nodes[1].coordinator
+	now := time.Unix(100, 0)
+	ts := newTermState(testLog(), now, 2, time.Second)
+	poll := func(at, cold time.Duration) uint64 {
+		e := sqplace.NewEndpoint(sqplace.EndpointConfig{ID: "i1", Service: "s", ColdUntil: now.Add(at + cold)})
+		c.recordEndpoints(now.Add(at), ts, []sqplace.Endpoint{e}, 0, nil)
+		return ts.fleetRevision
+	}
+	first := poll(0, 4*time.Second)
+	assert.Equal(t, poll(500*time.Millisecond, 3510*time.Millisecond), first)
+	assert.Equal(t, poll(1000*time.Millisecond, 2970*time.Millisecond), first)
+	assert.Equal(t, ts.fleet[0].ColdRemaining(now.Add(time.Second)), 3*time.Second)
+	assert.Equal(t, poll(1500*time.Millisecond, 6*time.Second), first+1, "the platform says that it takes longer")
+}
+
 // absentEngines are engines that respond to each call with the next error, then with none.
 type absentEngines struct {
 	sqcore.Engines
--- a/app/sqcoordinator/duties.go
+++ b/app/sqcoordinator/duties.go
@@ -70,7 +70,7 @@
 	}
 	t.fleetReadFailing, t.fleetReadAt = false, now
 	isFirst, sent := t.fleet == nil, t.endpointsForGateways()
-	t.fleet = append([]sqplace.Endpoint{}, list...)
+	t.fleet = withSteadyCold(now, t.fleet, list)
 	t.orders.pruneStageOverrides(list)
 	c.forgetDepartures(now, t, list)
 	if !isFirst && slices.Equal(sent, t.endpointsForGateways()) {
@@ -80,6 +80,21 @@
 	c.log.Event(sqevent.EndpointListChanged, t.fleetRevision, len(list), unreadable)
 }
 
+// withSteadyCold returns a copy of the list in which an endpoint that is still slow after
+// its start has the same entry as in the previous list, unless the platform corrected its
+// statement. Otherwise, each poll would make all gateways get the whole list anew.
+func withSteadyCold(now time.Time, previous, list []sqplace.Endpoint) []sqplace.Endpoint {
+	byID := make(map[string]*sqplace.Endpoint, len(previous))
+	for i := range previous {
+		byID[previous[i].ID()] = &previous[i]
+	}
+	steady := make([]sqplace.Endpoint, 0, len(list))
+	for _, e := range list {
+		steady = append(steady, e.WithSteadyCold(now, byID[e.ID()]))
+	}
+	return steady
+}
+
 // reportUsage freezes billing windows and reports them to the platform while this
 // process holds the lease. The counts of a window are committed before it is
 // reported, so that every lease holder that reports it reports the same counts.
--- a/app/sqcoordinator/heartbeat.go
+++ b/app/sqcoordinator/heartbeat.go
@@ -115,7 +115,7 @@
 	if t.fleet != nil {
 		res.FleetRevision = t.fleetRevision
 		if req.GetFleetRevision() != t.fleetRevision {
-			res.Endpoints = toListedEndpoints(t.endpointsForGateways())
+			res.Endpoints = toListedEndpoints(now, t.endpointsForGateways())
 		}
 	}
 	t.gateways.checkSilence(now)
@@ -130,10 +130,10 @@
 }
 
 // toListedEndpoints converts endpoints to protocol messages.
-func toListedEndpoints(fleet []sqplace.Endpoint) []*sqrpc.ListedEndpoint {
+func toListedEndpoints(now time.Time, fleet []sqplace.Endpoint) []*sqrpc.ListedEndpoint {
 	list := make([]*sqrpc.ListedEndpoint, 0, len(fleet))
 	for i := range fleet {
-		list = append(list, sqrpc.FromEndpoint(&fleet[i]))
+		list = append(list, sqrpc.FromEndpoint(now, &fleet[i]))
 	}
 	return list
 }
--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -62,7 +62,7 @@
 		Gateways: []*sqrpc.GatewayAddress{{Address: req.GetAddress(), Zone: req.GetZone()}},
 	}
 	for i := range h.fleet {
-		res.Endpoints = append(res.Endpoints, sqrpc.FromEndpoint(&h.fleet[i]))
+		res.Endpoints = append(res.Endpoints, sqrpc.FromEndpoint(time.Now(), &h.fleet[i]))
 	}
 	return res, nil
 }
--- a/app/sqgateway/view.go
+++ b/app/sqgateway/view.go
@@ -82,7 +82,7 @@
 		g.log.Event(sqevent.TableUnreadable, res.GetTableVersion(), "older than the one in force")
 		return
 	}
-	g.applyFleet(&v, res)
+	g.applyFleet(receivedAt, &v, res)
 	g.applyQuarantines(receivedAt, &v, res)
 	v.freshUntil = g.freshness.Until()
 	if awaited := g.freshness.Awaited(); awaited != 0 && v.table != nil && !v.fresh(receivedAt) && !v.outdated {
@@ -120,14 +120,14 @@
 }
 
 // applyFleet copies a new list of endpoints into v, if there is one.
-func (g *gateway) applyFleet(v *view, res *sqrpc.BeatResponse) {
+func (g *gateway) applyFleet(receivedAt time.Time, v *view, res *sqrpc.BeatResponse) {
 	if res.GetFleetRevision() == 0 || res.GetFleetRevision() == v.fleetRevision {
 		return
 	}
 	fleet := make([]sqplace.Endpoint, 0, len(res.GetEndpoints()))
 	v.endpointIDs = make(map[string]bool, len(res.GetEndpoints()))
 	for _, endpoint := range res.GetEndpoints() {
-		fleet = append(fleet, sqrpc.ToEndpoint(endpoint))
+		fleet = append(fleet, sqrpc.ToEndpoint(receivedAt, endpoint))
 		v.endpointIDs[endpoint.GetId()] = true
 	}
 	v.fleetRevision = res.GetFleetRevision()
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -95,7 +95,7 @@
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
-		cost := p.jitter(latency+p.penalty(n)) + s.interference(now, n, uncached)
+		cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached)
 		if best.choice.Endpoint == nil || cost < best.cost {
 			best = scoredChoice{cost: cost, choice: Choice{
 				Endpoint: n.endpointCopy(), ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time",
@@ -134,7 +134,7 @@
 	for _, n := range prefillNodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
-		if cost := p.jitter(latency+p.penalty(n)) + s.interference(now, n, uncached); prefiller == nil || cost < prefillCost {
+		if cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached); prefiller == nil || cost < prefillCost {
 			prefiller, prefillCost, prefillLatency, prefillUncached = n, cost, latency, uncached
 		}
 	}
@@ -159,7 +159,7 @@
 	var best scoredChoice
 	for _, n := range nodes {
 		latency := s.slotWait(now, n) + s.prefillWait(r, n)/4
-		cost := p.jitter(latency + p.penalty(n) + time.Duration(n.running(now))*time.Millisecond)
+		cost := p.jitter(latency + p.penalty(now, n) + time.Duration(n.running(now))*time.Millisecond)
 		if best.choice.Endpoint == nil || cost < best.cost {
 			best = scoredChoice{cost: cost, choice: Choice{Endpoint: n.endpointCopy(), ExpectedLatency: latency}}
 		}
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -125,8 +125,8 @@
 
 // penalty returns the cost that is added to an endpoint's latency only in the
 // comparison with other endpoints; the request does not wait for it.
-func (p *Placer) penalty(n *node) time.Duration {
-	cost := time.Duration(n.failureRate*float64(failurePenalty)) + n.endpoint.cfg.ColdRemaining/coldPenaltyDivisor
+func (p *Placer) penalty(now time.Time, n *node) time.Duration {
+	cost := time.Duration(n.failureRate*float64(failurePenalty)) + n.endpoint.ColdRemaining(now)/coldPenaltyDivisor
 	if n.endpoint.cfg.Zone != p.cfg.Zone {
 		cost += crossZonePenalty
 	}
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -41,8 +41,9 @@
 	Slots    int
 	Draining bool
 	Stage    Stage
-	// ColdRemaining is how much longer the endpoint is slow after its start.
-	ColdRemaining time.Duration
+	// ColdUntil is until when the endpoint is slow after its start; the zero time means that
+	// it is not.
+	ColdUntil time.Time
 	// Spot is set if the provider may reclaim the endpoint.
 	Spot bool
 }
@@ -70,8 +71,27 @@
 // Slots returns how many requests the endpoint runs at once.
 func (e *Endpoint) Slots() int { return e.cfg.Slots }
 
-// ColdRemaining returns how much longer the endpoint is slow after its start.
-func (e *Endpoint) ColdRemaining() time.Duration { return e.cfg.ColdRemaining }
+// ColdRemaining returns how much longer than now the endpoint is slow after its start.
+func (e *Endpoint) ColdRemaining(now time.Time) time.Duration {
+	return max(0, e.cfg.ColdUntil.Sub(now))
+}
+
+// coldTolerance is how much two statements of the time until which an endpoint is slow may
+// differ and still count as the same.
+const coldTolerance = 1 * time.Second
+
+// WithSteadyCold returns a copy of the endpoint whose time of being slow ends as in the
+// previous entry of the same endpoint if it differs little, so that equal entries compare
+// as equal although each is read at another time.
+func (e Endpoint) WithSteadyCold(now time.Time, previous *Endpoint) Endpoint {
+	switch {
+	case e.ColdRemaining(now) == 0:
+		e.cfg.ColdUntil = time.Time{}
+	case previous != nil && e.cfg.ColdUntil.Sub(previous.cfg.ColdUntil).Abs() < coldTolerance:
+		e.cfg.ColdUntil = previous.cfg.ColdUntil
+	}
+	return e
+}
 
 // Draining reports whether the endpoint must get no new requests.
 func (e *Endpoint) Draining() bool { return e.cfg.Draining }
