--- a/app/sqcoordinator/bench_test.go
+++ b/app/sqcoordinator/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,44 +10,120 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqtransfer"
 	"sequoiadock/io/sqrpc"
 )
 
+// benchTerm returns the state of a term with gateways that all use all endpoints, and the
+// heartbeats that they send.
+func benchTerm(c *coordinator, now time.Time, gateways, endpoints int) (*termState, []*sqrpc.BeatRequest) {
+	ts := newTermState(testLog(), now, 2, time.Second)
+	ts.fleet = []sqplace.Endpoint{}
+	for e := range endpoints {
+		ts.fleet = append(ts.fleet, sqplace.NewEndpoint(sqplace.EndpointConfig{
+			ID: fmt.Sprintf("i-%010d", e), Service: "engines-a", Address: fmt.Sprintf("10.1.%d.%d:8080", e/250, e%250), Zone: "zone-a-1",
+			Slots: 16, Stage: sqplace.Decode, Spot: true,
+		}))
+	}
+	reqs := make([]*sqrpc.BeatRequest, gateways)
+	for i := range reqs {
+		reqs[i] = newBeatRequest(fmt.Sprintf("front-zone-%d", i), 1)
+		reqs[i].Address = fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250)
+		for e := range endpoints {
+			reqs[i].Loads = append(reqs[i].Loads, &sqrpc.InFlight{Id: fmt.Sprintf("i-%010d", e), Running: 2, UnreadTokens: 700})
+		}
+	}
+	for _, at := range []time.Time{now.Add(-gatewayCountDelay), now} {
+		for _, req := range reqs {
+			c.recordBeat(at, ts, req)
+		}
+	}
+	return ts, reqs
+}
+
 // BenchmarkBeat measures the part of a heartbeat that grows with the fleet, and the size of
-// its response, at a holder with many gateways that all use all endpoints.
+// its response: to a gateway that has all lists, and to one that has just started.
 func BenchmarkBeat(b *testing.B) {
-	for _, size := range []struct{ gateways, endpoints int }{{8, 30}, {79, 72}, {291, 135}} {
-		b.Run(fmt.Sprintf("%dGateways", size.gateways), func(b *testing.B) {
-			c := newGroup(b, 1).nodes[1].coordinator
-			now := time.Unix(1000, 0)
-			ts := newTermState(testLog(), now, 2, time.Second)
-			ts.fleet = []sqplace.Endpoint{}
-			reqs := make([]*sqrpc.BeatRequest, size.gateways)
-			for i := range reqs {
-				reqs[i] = newBeatRequest(fmt.Sprintf("front-zone-%d", i), 1)
-				reqs[i].Address = fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250)
-				for e := range size.endpoints {
-					reqs[i].Loads = append(reqs[i].Loads, &sqrpc.InFlight{Id: fmt.Sprintf("i-%010d", e), Running: 2, UnreadTokens: 700})
+	for _, size := range []struct{ gateways, endpoints int }{{8, 30}, {79, 72}, {291, 135}, {340, 1100}} {
+		for _, isFirst := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%dGateways/first=%v", size.gateways, isFirst), func(b *testing.B) {
+				c := newGroup(b, 1).nodes[1].coordinator
+				now := time.Unix(1000, 0)
+				ts, reqs := benchTerm(c, now, size.gateways, size.endpoints)
+				if isFirst {
+					fillPromptReads(ts)
 				}
-				c.recordBeat(now, ts, reqs[i])
-			}
-			now = now.Add(gatewayCountDelay)
-			for _, req := range reqs {
-				c.recordBeat(now, ts, req)
-			}
-			bytes, n := 0, 0
+				bytes, n := 0, 0
+				for b.Loop() {
+					req := reqs[n%len(reqs)]
+					res := &sqrpc.BeatResponse{}
+					req.DirectoryRevision, req.FleetRevision = ts.gateways.directoryRevision, ts.fleetRevision
+					if isFirst {
+						req.DirectoryRevision, req.FleetRevision, req.ReadsSeen = 0, 0, 0
+						ts.promptReads.exchange(req, res)
+					}
+					c.recordBeat(now, ts, req)
+					c.fillBeatResponse(now, ts, req, res)
+					encoded, err := proto.Marshal(res)
+					assert.NilError(b, err)
+					bytes += len(encoded)
+					n++
+				}
+				b.ReportMetric(float64(bytes)/float64(n), "B/response")
+			})
+		}
+	}
+}
+
+// fillPromptReads makes the log of prompt reads as long as it can be.
+func fillPromptReads(ts *termState) {
+	for i := range maxKeptPromptReads {
+		ts.promptReads.exchange(&sqrpc.BeatRequest{Gateway: "other", ReadsSeen: ts.promptReads.nextNumber, Reads: []*sqrpc.PromptRead{
+			{Endpoint: fmt.Sprintf("i-%010d", i), Beginning: uint64(i) << 40, Tokens: 13300, Own: 3700},
+		}}, &sqrpc.BeatResponse{})
+	}
+}
+
+// BenchmarkTable measures what the holder spends on sending a new version of a large table
+// to all gateways, and how many bytes one of them gets.
+func BenchmarkTable(b *testing.B) {
+	var routes strings.Builder
+	for i := range 2800 {
+		fmt.Fprintf(&routes, `{"name":"r-%07x","host":"h.example","pathPrefix":"/%08x/","kind":"idempotent","timeoutMs":2000,`+
+			`"targetLatencyMs":500,"priority":1,"service":"ledger","maxAttempts":2,"public":false,"sticky":false,"resumable":false},`,
+			i*40503&0xfffffff, uint32(i*2654435761))
+	}
+	document := []byte(routes.String())
+	for _, gateways := range []int{69, 340} {
+		b.Run(fmt.Sprintf("%dGateways", gateways), func(b *testing.B) {
+			sent := 0
 			for b.Loop() {
-				req := reqs[n%len(reqs)]
-				res := &sqrpc.BeatResponse{}
-				req.DirectoryRevision = ts.gateways.directoryRevision
-				c.recordBeat(now, ts, req)
-				c.fillBeatResponse(now, ts, req, res)
-				encoded, err := proto.Marshal(res)
-				assert.NilError(b, err)
-				bytes += len(encoded)
-				n++
+				var s tableStore
+				sent = 0
+				for range gateways {
+					sent += fetchAll(b, &s, document)
+				}
 			}
-			b.ReportMetric(float64(bytes)/float64(n), "B/response")
+			b.ReportMetric(float64(sent)/float64(gateways), "B/gateway")
 		})
 	}
 }
+
+// fetchAll fetches all pieces of version 1 and returns the number of bytes sent.
+func fetchAll(b *testing.B, s *tableStore, document []byte) int {
+	var d sqtransfer.Download
+	sent := 0
+	for {
+		next := d.Next(1)
+		p, err := s.piece(1, document, &sqrpc.TableRequest{Version: next.Version, Offset: uint64(next.Offset), MaxBytes: uint32(next.Size)})
+		assert.NilError(b, err)
+		encoded, err := proto.Marshal(&sqrpc.TablePiece{Version: p.Version, Offset: uint64(p.Offset), TotalBytes: uint64(p.Total), Data: p.Data})
+		assert.NilError(b, err)
+		sent += len(encoded)
+		complete, err := d.Add(p)
+		assert.NilError(b, err)
+		if complete {
+			return sent
+		}
+	}
+}
