Gateways together keep to the limit that an endpoint names

Cause: nothing read the header. Class: a figure that an endpoint tells one gateway is about all of them; and a gateway alone cannot keep to it, whatever it does.

Change (core/sqlimit): a gateway that knows of a limit sends the endpoint any request (runs, repeats, prefills, releases of caches, also ones that are then turned away) with a permit of the lease holder only; without one, the request goes to another endpoint or is refused at once with a time to return. The holder joins what gateways report, tells all of them, and issues permits at the rate of the limit to those that want to send, saving up those of half a second. Permits last a second. So late news, restarts and gateways out of touch make it less, never more, and the number of gateways does not matter. A limit ends with a response that names none to a request sent after it was heard. A new holder is told by the gateways, and ends nothing before. Orders count an endpoint with a limit as missing, its stage is not changed, and the holder's own calls need permits too.

--- a/app/sqcoordinator/departures.go
+++ b/app/sqcoordinator/departures.go
@@ -41,12 +41,8 @@
 
 // forgetDepartures forgets the endpoints that have not been listed for some time. The
 // caller must hold mu.
-func (c *coordinator) forgetDepartures(now time.Time, t *termState, list []sqplace.Endpoint) {
-	listed := make(map[string]bool, len(list))
-	for i := range list {
-		listed[list[i].ID()] = true
-	}
-	for _, id := range t.departures.Forget(now, func(id string) bool { return listed[id] }) {
+func (c *coordinator) forgetDepartures(now time.Time, t *termState, listed func(id string) bool) {
+	for _, id := range t.departures.Forget(now, listed) {
 		c.log.Event(sqevent.DepartureForgottenByHolder, id)
 	}
 }
--- a/app/sqcoordinator/duties.go
+++ b/app/sqcoordinator/duties.go
@@ -72,7 +72,12 @@
 	isFirst, sent := t.fleet == nil, t.endpointsForGateways()
 	t.fleet = withSteadyCold(now, t.fleet, list)
 	t.orders.pruneStageOverrides(list)
-	c.forgetDepartures(now, t, list)
+	listed := make(map[string]bool, len(list))
+	for i := range list {
+		listed[list[i].ID()] = true
+	}
+	c.forgetDepartures(now, t, func(id string) bool { return listed[id] })
+	c.forgetLimits(now, t, func(id string) bool { return listed[id] })
 	if !isFirst && slices.Equal(sent, t.endpointsForGateways()) {
 		return
 	}
--- a/app/sqcoordinator/heartbeat.go
+++ b/app/sqcoordinator/heartbeat.go
@@ -71,7 +71,7 @@
 	if req.GetGateway() == "" || req.GetAddress() == "" {
 		return nil, sqrpc.ToTwirp(sqerror.New(sqerror.Config{Kind: sqerror.BadRequest, Detail: "a beat without a name or an address"}))
 	}
-	res := &sqrpc.BeatResponse{FreshMillis: uint32(c.cfg.FreshnessLease.Milliseconds()), Holder: c.cfg.InternalAddress}
+	res := &sqrpc.BeatResponse{Term: t.term, FreshMillis: uint32(c.cfg.FreshnessLease.Milliseconds()), Holder: c.cfg.InternalAddress}
 	c.stateMachine.Read(func(s *sqstate.State) {
 		version, document := s.RoutingTable()
 		res.TableVersion = version
@@ -82,6 +82,7 @@
 	c.mu.Lock()
 	c.recordBeat(now, t, req)
 	c.recordDepartures(now, t, req)
+	c.exchangeLimits(now, t, req, res)
 	c.fillBeatResponse(now, t, req, res)
 	t.promptReads.exchange(req, res)
 	c.exchangeEvidence(now, t, req, res)
--- a/app/sqcoordinator/holder.go
+++ b/app/sqcoordinator/holder.go
@@ -12,6 +12,7 @@
 	"sequoiadock/core/sqdeparture"
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqlimit"
 	"sequoiadock/core/sqoffset"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
@@ -54,6 +55,8 @@
 	quarantine  *sqquarantine.Tracker
 	// departures holds the endpoints that gateways reported to be about to stop.
 	departures *sqdeparture.Log
+	// limits holds the limits that endpoints name.
+	limits *sqlimit.Issuer
 }
 
 func newTermState(log *sqlog.Log, now time.Time, term uint64, billingWindow time.Duration) *termState {
@@ -61,7 +64,7 @@
 		term: term, startedAt: now, announcements: map[uint64]sqquorum.Candidate{}, gateways: newGatewayRegistry(log, term),
 		requestCounts: sqwindow.NewCollector(now, billingWindow), clockOffsets: sqoffset.New(), fleetRevision: term << counterBits,
 		orders: newOrderState(), promptReads: newPromptReadLog(term),
-		quarantine: sqquarantine.NewTracker(), departures: sqdeparture.NewLog(),
+		quarantine: sqquarantine.NewTracker(), departures: sqdeparture.NewLog(), limits: sqlimit.NewIssuer(),
 	}
 }
 
--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -192,7 +192,7 @@
 	if d := t.orders.demand[s.Name()]; d != nil {
 		v.Demand = *d
 	}
-	for _, e := range t.endpointsForGateways() {
+	for _, e := range t.endpointsForPlanning() {
 		if e.Service() == s.Name() {
 			v.Endpoints = append(v.Endpoints, e)
 		}
@@ -242,6 +242,12 @@
 func (c *coordinator) sendStageOrder(ctx context.Context, t *termState, change sqcapacity.StageChange) error {
 	e := &change.Endpoint
 	sqclock.Sleep(ctx, stageDrainTime)
+	c.mu.Lock()
+	limited := t.limits.Limited(e.ID())
+	c.mu.Unlock()
+	if limited {
+		return sqerror.New(sqerror.Config{Kind: sqerror.Refused, Detail: "the engine limits its requests"})
+	}
 	accepted, busy, err := c.engines.AcceptedOrders(ctx, e)
 	if err != nil {
 		return err
@@ -260,6 +266,12 @@
 	c.mu.Unlock()
 	sqclock.Sleep(ctx, switchTime)
 	for range maxStagePolls {
+		if !c.mayCallEngine(sqclock.Now(), t, e.ID()) {
+			if !sqclock.Sleep(ctx, stagePollInterval) {
+				return
+			}
+			continue
+		}
 		_, busy, err := c.engines.AcceptedOrders(ctx, e)
 		c.recordEngineLeaving(t, e, err)
 		done := err == nil && !busy || sqerror.KindOf(err) == sqerror.Leaving
--- a/app/sqgateway/availability.go
+++ b/app/sqgateway/availability.go
@@ -11,8 +11,9 @@
 	"sequoiadock/io/sqlink"
 )
 
-// recordReports records what an endpoint reports of itself in a response.
-func (g *gateway) recordReports(e *sqplace.Endpoint, reply *sqlink.Response, response sqattempt.Response) {
+// recordReports records what an endpoint reports of itself in the response to a request
+// that was sent at sentAt.
+func (g *gateway) recordReports(sentAt time.Time, e *sqplace.Endpoint, reply *sqlink.Response, response sqattempt.Response) {
 	now := sqclock.Now()
 	if reply.Status() == http.StatusMisdirectedRequest {
 		// The response is that of another endpoint, which has the address now.
@@ -24,6 +25,7 @@
 	if reply.Status() == http.StatusServiceUnavailable {
 		g.recordRefusal(now, e, reply.Header())
 	}
+	g.recordLimit(sentAt, now, e, response.Limit)
 	if response.HasLoad {
 		g.mu.Lock()
 		g.placer.RecordLoadReport(now, e.ID(), response.Load)
@@ -82,19 +84,18 @@
 	}
 }
 
-// available reports whether the endpoint may get a request now.
-func (g *gateway) available(id string) bool {
+// admit reports whether the endpoint may get a request that is sent now.
+func (g *gateway) admit(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.placer.Available(sqclock.Now(), id)
+	return g.placer.Admit(sqclock.Now(), id)
 }
 
-// refuses reports whether the endpoint wants no requests now. One that is about to stop may
-// still release a KV cache.
-func (g *gateway) refuses(id string) bool {
+// admitRelease reports whether the endpoint may get a request that releases a KV cache now.
+func (g *gateway) admitRelease(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.placer.Refuses(sqclock.Now(), id)
+	return g.placer.AdmitRelease(sqclock.Now(), id)
 }
 
 // retryAfter returns the Retry-After time of a request that is refused after a send.
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -35,13 +35,14 @@
 	cacheSource string) (sendResult, bool) {
 	x.lastEndpoint = e.ID()
 	call := x.newCall(e, sqattempt.SendParams{CacheSource: cacheSource, ResumeAfter: x.resumeAfter()})
+	sentAt := sqclock.Now()
 	reply, err := x.g.pool.Do(x.ctx, call)
 	if err != nil {
 		return x.connectionFailure(err), false
 	}
 	defer reply.Close()
 	response := x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header())
-	x.g.recordReports(e, reply, response)
+	x.g.recordReports(sentAt, e, reply, response)
 	switch {
 	case response.NotRun:
 		return sendResult{outcome: sqattempt.Declined,
@@ -78,7 +79,7 @@
 		Endpoint: e.ID(), Address: e.Address(), Method: x.r.Method, Target: x.target(), Host: x.r.Host,
 		Header: h, Body: x.body,
 		Matches: x.matchesAttempt, MaxConnections: x.maxConnections(),
-		Allowed: func() bool { return x.g.available(e.ID()) },
+		Allowed: func() bool { return x.g.admit(e.ID()) },
 	}
 	if !x.route.Retryable() {
 		call.MaxIdle = atMostOnceMaxIdle
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqlimit"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqhttp"
@@ -98,17 +99,20 @@
 	sentAt := sqclock.Now()
 	g.updateAvailability(sentAt)
 	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.coordinatorClient)
-	res, err := client.Beat(ctx, g.heartbeatRequest())
+	req, reports := g.heartbeatRequest(sentAt)
+	res, err := client.Beat(ctx, req)
 	if err != nil {
 		return sqrpc.FromTwirp(err)
 	}
+	g.applyLimits(sentAt, sqclock.Now(), reports, res)
 	g.applyResponse(sentAt, sqclock.Now(), res)
 	g.applyCacheUpdates(res)
 	return nil
 }
 
-// heartbeatRequest returns the state that is reported to the lease holder.
-func (g *gateway) heartbeatRequest() *sqrpc.BeatRequest {
+// heartbeatRequest returns the state that is reported to the lease holder at now, and the
+// reports on limits in it.
+func (g *gateway) heartbeatRequest(now time.Time) (*sqrpc.BeatRequest, []sqlimit.Report) {
 	v := g.view.Load()
 	req := &sqrpc.BeatRequest{
 		Gateway: g.cfg.Name, Run: g.runID, Zone: g.cfg.Zone, Region: g.cfg.Region, Address: g.cfg.CallerAddress,
@@ -133,11 +137,12 @@
 	g.unsentCacheUpdates = g.unsentCacheUpdates[max(0, len(g.unsentCacheUpdates)-maxUnsentCacheUpdates):]
 	req.Reads, req.ReadsSeen = g.unsentCacheUpdates, g.lastSeenCacheUpdate
 	req.LeavingEndpoints = g.placer.UnlistedDepartures()
-	g.addEvidence(sqclock.Now(), v, req)
+	reports := g.addLimits(now, req)
+	g.addEvidence(now, v, req)
 	for service, d := range g.demandByService {
 		req.Demand = append(req.Demand, d.toProto(service))
 	}
-	return req
+	return req, reports
 }
 
 // applyCacheUpdates applies the cache updates of other gateways, and drops this
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -41,12 +41,13 @@
 // requestPrefill sends the prompt to an engine and returns the handle of the KV
 // cache. Reached is false if no connection to the engine could be made.
 func (x *request) requestPrefill(e *sqplace.Endpoint) (handle string, reached bool, err error) {
+	sentAt := sqclock.Now()
 	reply, err := x.g.pool.Do(x.ctx, x.newCall(e, sqattempt.SendParams{Prefill: true}))
 	if err != nil {
 		return "", x.connectionFailure(err).reached, err
 	}
 	defer reply.Close()
-	x.g.recordReports(e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
+	x.g.recordReports(sentAt, e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
 	body, err := io.ReadAll(io.LimitReader(reply, maxReadBytes))
 	if err != nil {
 		return "", true, err
@@ -88,18 +89,19 @@
 	call := &sqlink.Call{
 		Endpoint: e.ID(), Address: e.Address(), Method: http.MethodDelete, Host: e.Address(), Header: http.Header{},
 		Target:  x.g.cfg.Wire.ReleasePath(handle),
-		Allowed: func() bool { return !x.g.refuses(e.ID()) },
+		Allowed: func() bool { return x.g.admitRelease(e.ID()) },
 	}
 	id := x.attempt.ID
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
+		sentAt := sqclock.Now()
 		reply, err := x.g.pool.Do(ctx, call)
 		if err != nil {
 			x.g.log.Event(sqevent.PrefillFailed, id, e.ID(), 0, "the handle was not given back: "+err.Error())
 			return
 		}
-		x.g.recordReports(e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
+		x.g.recordReports(sentAt, e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
 		reply.Close()
 	}()
 }
--- a/core/sqattempt/sqattempt.go
+++ b/core/sqattempt/sqattempt.go
@@ -4,7 +4,12 @@
 // it to several endpoints.
 package sqattempt
 
-import "time"
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
 
 // Attempt holds the values that a caller passes in the headers of a request.
 type Attempt struct {
@@ -75,6 +80,27 @@
 	Slots   int
 }
 
+// RateLimit is what a response says about the rate of requests that its endpoint takes.
+type RateLimit struct {
+	// Named is set if the response names a limit.
+	Named     bool
+	PerSecond float64
+	// Unreadable is the value that is meant to name a limit and does not, or "".
+	Unreadable string
+}
+
+// ParseRateLimit parses a limit in requests a second. An empty value names none.
+func ParseRateLimit(value string) RateLimit {
+	if value == "" {
+		return RateLimit{}
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return RateLimit{Unreadable: value}
+	}
+	return RateLimit{Named: true, PerSecond: perSecond}
+}
+
 // Response holds the values in the status and headers of an endpoint's response.
 type Response struct {
 	// AttemptID is the ID of the attempt that the response belongs to, or "".
@@ -85,6 +111,9 @@
 	Leaving bool
 	// Signed is set if the response has the endpoint's signature.
 	Signed bool
+	// Limit is how many requests a second the endpoint says that it takes from all
+	// gateways.
+	Limit RateLimit
 	// HasLoad is set if the response contains a LoadReport.
 	HasLoad bool
 	Load    LoadReport
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -24,6 +24,8 @@
 	ServiceLoad                = Event{5017, Info, "service load", []string{"service", "stage", "endpoints", "away", "running", "unreadTokens"}}
 	DepartureReported          = Event{5021, Info, "endpoint is about to stop, as a response of it said", []string{"endpoint", "reportedBy", "revision"}}
 	DepartureForgottenByHolder = Event{5022, Info, "endpoint that was reported to stop is no longer listed and is forgotten", []string{"endpoint"}}
+	LimitReported              = Event{5023, Info, "limit of an endpoint on the requests of all gateways changed, as a response of it said", []string{"endpoint", "reportedBy", "named", "perSecond"}}
+	LimitForgotten             = Event{5024, Info, "endpoint that named a limit is no longer listed and is forgotten", []string{"endpoint"}}
 	StageRefused               = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
 
@@ -31,5 +33,5 @@
 	BootstrapFailed, MemberChanged, MemberChangeFailed, TableCommitted, TableRefused, TableNotCommitted,
 	GatewayFound, GatewayLeaving, GatewayLost, EndpointListChanged, EndpointListFailed, EndpointListRecovered,
 	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, PartQuarantined, PartReleased,
-	DepartureReported, DepartureForgottenByHolder,
+	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten,
 }
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -27,6 +27,9 @@
 	RetryAfterUnreadable = Event{6022, Warn, "Retry-After of an endpoint cannot be read and is ignored", []string{"endpoint", "value"}}
 	TablePieceFailed     = Event{6023, Info, "piece of the routing table did not arrive and is fetched again", []string{"version", "offset", "size", "address", "afterMillis", "firstByteMillis", "bytes", "error"}}
 	TableOutdated        = Event{6024, Warn, "routing table in use is outdated and the newer one has not arrived, requests are refused", []string{"version", "newer"}}
+	EndpointLimited      = Event{6025, Info, "endpoint limits the requests of all gateways and gets them with permits only", []string{"endpoint", "perSecond", "from"}}
+	EndpointLimitEnded   = Event{6026, Info, "endpoint has ended its limit", []string{"endpoint", "from"}}
+	LimitUnreadable      = Event{6027, Warn, "limit that an endpoint names cannot be read and is ignored", []string{"endpoint", "value"}}
 )
 
 var gatewayEvents = []Event{
@@ -34,5 +37,5 @@
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
 	EndpointLeaving, DepartureForgotten, EndpointRefuses, EndpointRefusalEnded, RetryAfterUnreadable,
-	TablePieceFailed, TableOutdated,
+	TablePieceFailed, TableOutdated, EndpointLimited, EndpointLimitEnded, LimitUnreadable,
 }
--- a/core/sqplace/availability.go
+++ b/core/sqplace/availability.go
@@ -3,12 +3,18 @@
 import (
 	"slices"
 	"time"
+
+	"sequoiadock/core/sqlimit"
 )
 
 // maxRefusalTime limits for how long an endpoint gets no requests after a refusal, so that
 // one wrong header does not take it away for a day.
 const maxRefusalTime = 10 * time.Minute
 
+// permitWait is the expected time until a permit for a limited endpoint comes, at least
+// one heartbeat.
+const permitWait = 500 * time.Millisecond
+
 // departing reports whether the endpoint is listed as draining or has reported that it is
 // about to stop.
 func (n *node) departing() bool { return n.endpoint.Draining() || n.leaving }
@@ -18,15 +24,22 @@
 	return !n.departing() && !now.Before(n.refusesUntil)
 }
 
-// Available reports whether a listed endpoint may get requests. After an endpoint is
-// chosen and before the request is sent, that may change.
-func (p *Placer) Available(now time.Time, id string) bool {
+// Admit reports whether a listed endpoint may get a request that is sent now, which counts
+// towards the endpoint's limit if it names one. After an endpoint is chosen and before the
+// request is sent, that may change.
+func (p *Placer) Admit(now time.Time, id string) bool {
 	n := p.nodes[id]
-	return n != nil && n.available(now)
+	return n != nil && n.available(now) && p.limits.Take(now, id)
 }
 
-// Refuses reports whether an endpoint wants no requests of this gateway now.
-func (p *Placer) Refuses(now time.Time, id string) bool { return now.Before(p.refusals[id]) }
+// AdmitRelease reports whether an endpoint may get a request that releases a KV cache now.
+// One that is about to stop may still get it.
+func (p *Placer) AdmitRelease(now time.Time, id string) bool {
+	return !now.Before(p.refusals[id]) && p.limits.Take(now, id)
+}
+
+// Limits returns the limits that the gateway knows of, with their permits.
+func (p *Placer) Limits() *sqlimit.Keeper { return p.limits }
 
 // RecordLeaving records that an endpoint reported that it is about to stop. It gets no
 // more requests, whatever the list says. RecordLeaving returns false if that was recorded
@@ -92,19 +105,23 @@
 	if s == nil {
 		return 0
 	}
-	wait := s.refusalTimeLeft(now)
+	wait := p.waitForEndpoint(now, s)
 	if wait == 0 {
 		return 0
 	}
 	return wait + p.randomDuration(max(wait/2, minRetryAfter))
 }
 
-// refusalTimeLeft returns the time until the first endpoint may get requests, or 0 if one
+// waitForEndpoint returns the time until the first endpoint may get requests, or 0 if one
 // may get them now or none will.
-func (s *pool) refusalTimeLeft(now time.Time) time.Duration {
+func (p *Placer) waitForEndpoint(now time.Time, s *pool) time.Duration {
 	left := time.Duration(0)
 	for _, n := range s.nodes {
-		switch wait := n.refusesUntil.Sub(now); {
+		wait := n.refusesUntil.Sub(now)
+		if !p.limits.Available(now, n.endpoint.ID()) {
+			wait = max(wait, permitWait)
+		}
+		switch {
 		case n.departing():
 		case wait <= 0:
 			return 0
@@ -119,7 +136,7 @@
 // if that does not change with time.
 func (p *Placer) noEndpoint(now time.Time, service, reason string) Choice {
 	if wait := p.RetryAfter(now, service); wait > 0 {
-		return Choice{RetryAfter: wait, Reason: "all endpoints refuse requests for now"}
+		return Choice{RetryAfter: wait, Reason: "all endpoints refuse requests or have reached their limits"}
 	}
 	return Choice{RetryAfter: maxRetryAfter / 3, Reason: reason}
 }
--- a/core/sqplace/availability_test.go
+++ b/core/sqplace/availability_test.go
@@ -22,12 +22,12 @@
 	p.SetEndpoints(list)
 	later := now.Add(4*time.Second - 1)
 	assert.Assert(t, p.Choose(later, q).Endpoint == nil)
-	assert.Assert(t, p.Refuses(later, "i1") && !p.Available(later, "i1"))
+	assert.Assert(t, !p.AdmitRelease(later, "i1") && !p.Admit(later, "i1"))
 	assert.Equal(t, len(p.EndRefusals(later)), 0)
 	now = now.Add(4 * time.Second)
 	assert.Assert(t, p.Choose(now, q).Endpoint != nil)
 	assert.DeepEqual(t, p.EndRefusals(now), []string{"i1"})
-	assert.Assert(t, p.Available(now, "i1") && !p.Available(now, "i2"))
+	assert.Assert(t, p.Admit(now, "i1") && !p.Admit(now, "i2"))
 }
 
 // TestRefusalTimeIsLimited checks that a very long time of one endpoint is cut.
@@ -35,8 +35,8 @@
 	p := New(Config{})
 	now := time.Unix(1000, 0)
 	p.RecordRefusal(now, "i1", 24*time.Hour)
-	assert.Assert(t, p.Refuses(now.Add(maxRefusalTime-1), "i1"))
-	assert.Assert(t, !p.Refuses(now.Add(maxRefusalTime), "i1"))
+	assert.Assert(t, !p.AdmitRelease(now.Add(maxRefusalTime-1), "i1"))
+	assert.Assert(t, p.AdmitRelease(now.Add(maxRefusalTime), "i1"))
 }
 
 // TestRetryAfter checks that callers return when the first endpoint takes requests again,
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -70,6 +70,10 @@
 		if !n.available(now) || slices.Contains(r.Tried, n.endpoint.ID()) {
 			continue
 		}
+		if !p.limits.Available(now, n.endpoint.ID()) {
+			p.limits.Want(n.endpoint.ID())
+			continue
+		}
 		all = append(all, n)
 		if !n.suspect(now) {
 			healthy = append(healthy, n)
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -11,6 +11,7 @@
 
 	"sequoiadock/core/sqattempt"
 	"sequoiadock/core/sqdeparture"
+	"sequoiadock/core/sqlimit"
 	"sequoiadock/core/sqtable"
 )
 
@@ -178,6 +179,8 @@
 	cacheUpdates []CacheUpdate
 	// departures holds the endpoints that reported that they are about to stop.
 	departures *sqdeparture.Log
+	// limits holds the limits that endpoints name and the permits under them.
+	limits *sqlimit.Keeper
 	// refusals holds until when endpoints want no requests of this gateway, by identity. An
 	// endpoint that is not listed for a moment keeps its entry.
 	refusals map[string]time.Time
@@ -198,7 +201,7 @@
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
-		refusals: map[string]time.Time{},
+		limits: sqlimit.NewKeeper(), refusals: map[string]time.Time{},
 	}
 }
 
