--- a/app/sqentry/bench_test.go
+++ b/app/sqentry/bench_test.go
@@ -42,7 +42,7 @@
 	defer engine.Close()
 	e := newEntry(b.Context(), benchConfig())
 	c := echo.New().NewContext(httptest.NewRequest(http.MethodPost, "/", nil), &discardWriter{header: http.Header{}})
-	r := &request{e: e, c: c, req: c.Request(), id: "r", svc: newService(nil), caller: &caller{open: true}, deadline: sqclock.Now().Add(time.Minute), memory: &reservation{pool: &e.active.responseMemory}}
+	r := &request{e: e, c: c, req: c.Request(), id: "r", svc: newService(nil), caller: &caller{open: true}, deadline: sqclock.Now().Add(time.Minute), memory: e.active.responseMemory.NewReservation()}
 	run := newResponseRelay(e, r, &chatRequest{Model: "m", Messages: []sqendpoint.Message{{Role: "user", Content: "x"}}, Stream: true})
 	stream, err := e.endpointClient.Chat(b.Context(), sqendpoint.ChatConfig{
 		Address: engine.Listener.Addr().String(), FirstTokenTimeout: time.Minute, InterTokenTimeout: time.Minute,
--- a/app/sqentry/callers.go
+++ b/app/sqentry/callers.go
@@ -59,7 +59,7 @@
 
 // serve handles every request of a caller and records its decision.
 func (e *entry) serve(c echo.Context) error {
-	r := &request{e: e, c: c, req: c.Request(), id: e.nextRequestID(), arrived: sqclock.Now(), memory: &reservation{pool: &e.active.responseMemory}}
+	r := &request{e: e, c: c, req: c.Request(), id: e.nextRequestID(), arrived: sqclock.Now(), memory: e.active.responseMemory.NewReservation()}
 	requests := e.active.requests.Add(1)
 	defer e.active.requests.Add(-1)
 	// Bounds how long a caller that doesn't read the response can hold the
--- a/app/sqentry/gauges.go
+++ b/app/sqentry/gauges.go
@@ -32,7 +32,7 @@
 	s.NewGauge("sequoiadock_entry_version", func() float64 { return float64(e.watch.View().Version()) })
 	s.NewGauge("sequoiadock_entry_pending_calls", func() float64 { return float64(e.onceCalls.Pending()) })
 	s.NewGauge("sequoiadock_entry_body_bytes", func() float64 { return float64(e.active.bodyBytes.Load()) })
-	s.NewGauge("sequoiadock_entry_answer_bytes", func() float64 { return float64(e.active.responseMemory.usedBytes.Load()) })
+	s.NewGauge("sequoiadock_entry_answer_bytes", func() float64 { return float64(e.active.responseMemory.UsedBytes()) })
 	s.NewGauge("sequoiadock_entry_poll_bytes", func() float64 { return float64(e.endpointClient.ControlBytes()) })
 	return g
 }
--- a/app/sqentry/memory_test.go
+++ b/app/sqentry/memory_test.go
@@ -23,7 +23,7 @@
 		_, _ = w.Write([]byte(strings.Repeat("x", n)))
 	})
 	e := newEntry(t.Context(), benchConfig())
-	e.active.responseMemory.limit = 1000
+	e.active.responseMemory.SetLimit(1000)
 	e.routes.Store(newRoutes(1, testConfiguration()))
 	e.fleet.setEndpoints(sqclock.Now(), []*sqrpc.EndpointView{{Id: "open0", Zone: "a", Kind: "open", State: stateLive, Address: plain.address()}})
 	e.admission.setTeams(sqclock.Now(), admissionTeams(e.watch.View()))
@@ -33,5 +33,5 @@
 		assert.Equal(t, s.get(front, openRoute+"/large").refusalBody(t).Kind, "overloaded")
 		assert.Equal(t, s.get(front, openRoute+"/small").status, 200)
 	}
-	assert.Equal(t, e.active.responseMemory.usedBytes.Load(), int64(0))
+	assert.Equal(t, e.active.responseMemory.UsedBytes(), int64(0))
 }
--- a/app/sqentry/onceattempt.go
+++ b/app/sqentry/onceattempt.go
@@ -45,13 +45,13 @@
 	requestCopy.notes = append([]string(nil), p.r.notes...)
 	// The response counts against the memory limit until its outcome is
 	// recorded.
-	requestCopy.memory = &reservation{pool: &p.r.e.active.responseMemory}
+	requestCopy.memory = p.r.e.active.responseMemory.NewReservation()
 	backgroundCall.r = &requestCopy
 	backgroundCall.respond = respond
 	go func() {
 		defer p.r.e.active.requests.Add(-1)
 		defer cancel()
-		defer requestCopy.memory.release()
+		defer requestCopy.memory.Release()
 		defer func() {
 			if v := recover(); v != nil {
 				p.r.e.cfg.Log.Event(sqevent.HandlerPanicked, backgroundCall.r.id, fmt.Sprint(v))
--- a/app/sqentry/plain.go
+++ b/app/sqentry/plain.go
@@ -213,7 +213,7 @@
 	response, err := e.endpointClient.SendPlain(ctx, sqendpoint.PlainConfig{
 		Address: d.address(), Method: req.Method, Path: p.path, Body: p.body,
 		Header:     endpointHeader(req.Header, r.id, r.caller.key),
-		WriteCheck: e.writeGuard(r.caller, id, p.once, p.freshnessEpoch), Watchdog: p.once, MaxResponseBytes: e.cfg.Limits.MaxResponseBytes, ReserveMemory: r.memory.reserve,
+		WriteCheck: e.writeGuard(r.caller, id, p.once, p.freshnessEpoch), Watchdog: p.once, MaxResponseBytes: e.cfg.Limits.MaxResponseBytes, ReserveMemory: r.memory.Reserve,
 	})
 	now := sqclock.Now()
 	if err == nil {
--- a/app/sqentry/request.go
+++ b/app/sqentry/request.go
@@ -17,6 +17,7 @@
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqkey"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqmemory"
 )
 
 // Request headers that callers set.
@@ -46,7 +47,7 @@
 	// maxTotalBodyBytes.
 	bodyBytes int64
 	// memory is the reservation for the response.
-	memory *reservation
+	memory *sqmemory.Reservation
 }
 
 // note adds lines to the explanation that the request's decision record keeps.
@@ -214,7 +215,7 @@
 // metrics and service levels.
 func (r *request) finish(result sloResult, err *sqerror.Error) {
 	r.e.active.bodyBytes.Add(-r.bodyBytes)
-	r.memory.release()
+	r.memory.Release()
 	kind := sqdecision.Request
 	if err != nil {
 		kind = sqdecision.Refusal
--- a/app/sqentry/responsewriter.go
+++ b/app/sqentry/responsewriter.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"sequoiadock/io/sqendpoint"
+	"sequoiadock/io/sqmemory"
 )
 
 // responseWriter writes a chat response to the caller.
@@ -102,17 +103,17 @@
 type bufferedWriter struct {
 	c            echo.Context
 	id, model    string
-	memory       *reservation
+	memory       *sqmemory.Reservation
 	content      bytes.Buffer
 	finishReason string
 }
 
-func newBufferedWriter(c echo.Context, id, model string, memory *reservation) *bufferedWriter {
+func newBufferedWriter(c echo.Context, id, model string, memory *sqmemory.Reservation) *bufferedWriter {
 	return &bufferedWriter{c: c, id: id, model: model, memory: memory}
 }
 
 func (s *bufferedWriter) writeToken(_ int64, content, finish string, _ *sqendpoint.Usage, _ bool) error {
-	if !s.memory.reserve(len(content)) {
+	if !s.memory.Reserve(len(content)) {
 		return errResponseMemory
 	}
 	s.content.WriteString(content)
--- a/app/sqentry/running.go
+++ b/app/sqentry/running.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sequoiadock/io/sqmemory"
 )
 
 // activeRequests tracks the requests that the entry is serving and the memory
@@ -11,14 +13,14 @@
 type activeRequests struct {
 	requests       atomic.Int64
 	bodyBytes      atomic.Int64
-	responseMemory memoryPool
+	responseMemory *sqmemory.Pool
 
 	mu     sync.Mutex
 	relays map[*responseRelay]struct{}
 }
 
 func newActiveRequests() *activeRequests {
-	return &activeRequests{responseMemory: memoryPool{limit: maxTotalResponseBytes}, relays: map[*responseRelay]struct{}{}}
+	return &activeRequests{responseMemory: sqmemory.NewPool(maxTotalResponseBytes), relays: map[*responseRelay]struct{}{}}
 }
 
 func (a *activeRequests) add(r *responseRelay) {
