What endpoints send without end takes a bounded part of a gateway's memory

Cause: up to 32 MB of each body were kept, and a megabyte of each event, whatever the others took. Class: a bound for one, none for all together.

Change: all that is kept of responses shares 16 MB (io/sqmemory), 256 KB of one. A longer success is forwarded as it comes, from then on without a second try; one that breaks off, or passes 32 MB, aborts the caller's connection, so that it never looks complete. A longer error counts as broken, an event over 256 KB (1 MB before) or without memory too. Heads have 32 KB in place of 64, a response to a prefill over 16 KB is an error and no longer cut, and the garbage collector works harder above 96 MB. Each such connection is closed at once or at the request's deadline.

--- a/app/sqgateway/answer.go
+++ b/app/sqgateway/answer.go
@@ -26,7 +26,7 @@
 // the value of the Retry-After header; 0 omits the header.
 func (x *request) refuse(status int, reason string, retryAfter time.Duration) {
 	if x.stream != nil {
-		x.abortStream(reason)
+		x.abort(x.stream.status, reason)
 	}
 	now := sqclock.Now()
 	x.g.metrics.refused.Inc()
@@ -48,28 +48,31 @@
 		panic(http.ErrAbortHandler)
 	}
 	if x.stream != nil {
-		x.abortStream(reason)
+		x.abort(x.stream.status, reason)
 	}
 	x.logFailure(status, reason)
 	x.writeEmptyResponse(status)
 }
 
-func (x *request) logFailure(status int, reason string) {
-	x.g.metrics.failed.Inc()
-	x.g.log.Event(sqevent.RequestFailed, x.attempt.ID, x.routeName(), x.team, x.lastEndpoint, x.lastPrefillEndpoint,
-		x.sends, status, reason, sqclock.Now().Sub(x.receivedAt).Milliseconds(), x.tableVersion())
-}
-
-// abortStream aborts the connection of a stream that has begun, so that the
-// caller does not mistake the stream for a complete one.
-func (x *request) abortStream(reason string) {
-	x.logFailure(x.stream.status, reason)
+// abort ends a response that has begun, so that the caller does not mistake it for a
+// complete one.
+func (x *request) abort(status int, reason string) {
+	if x.callerDisconnected() {
+		x.fail(status, reason)
+	}
+	x.logFailure(status, reason)
 	if !x.r.ProtoAtLeast(1, 1) {
 		x.resetCallerConnection()
 	}
 	panic(http.ErrAbortHandler)
 }
 
+func (x *request) logFailure(status int, reason string) {
+	x.g.metrics.failed.Inc()
+	x.g.log.Event(sqevent.RequestFailed, x.attempt.ID, x.routeName(), x.team, x.lastEndpoint, x.lastPrefillEndpoint,
+		x.sends, status, reason, sqclock.Now().Sub(x.receivedAt).Milliseconds(), x.tableVersion())
+}
+
 // resetCallerConnection resets the connection to a caller that does not know chunks.
 // To such a caller a closed connection is the end of a complete response.
 func (x *request) resetCallerConnection() {
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -1,7 +1,6 @@
 package sqgateway
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -14,8 +13,6 @@
 )
 
 const (
-	// maxResponseBytes is the maximum size of a response body that is not a stream.
-	maxResponseBytes = 32 << 20
 	// atMostOnceMaxIdle is the maximum idle time of a connection that is reused for
 	// a request that must not be retried. The longer a connection has been idle,
 	// the more likely the endpoint has closed it.
@@ -108,19 +105,24 @@
 	return max(minConnections, s.MaxConnections()*sharedConnectionPercent/100/gateways)
 }
 
-// forwardResponse reads a response that is not a stream and forwards it. The
-// results are those of exchange.
+// forwardResponse forwards a response that is not a stream. The results are those of
+// exchange.
 func (x *request) forwardResponse(reply *sqlink.Response, dispatch *sqplace.Dispatch) (sendResult, bool) {
-	body, err := io.ReadAll(io.LimitReader(reply, maxResponseBytes+1))
-	if err != nil {
+	body, isWhole, err := x.readBody(reply)
+	status := reply.Status()
+	failed := status >= http.StatusInternalServerError || x.stream != nil
+	switch {
+	case err != nil:
 		return x.connectionFailure(err), false
+	case failed && !isWhole:
+		return sendResult{outcome: sqattempt.Broken, reason: "the error response is too long", reached: true}, false
+	case !isWhole && !impliesNotRun(status):
+		x.relayLongBody(reply, dispatch, body)
+		return sendResult{}, true
 	}
-	if len(body) > maxResponseBytes {
-		return sendResult{outcome: sqattempt.Broken, reason: "the answer is too long", reached: true}, false
-	}
-	response := &bufferedResponse{status: reply.Status(), header: reply.Header(), body: body, framing: reply.Framing()}
-	if response.status >= http.StatusInternalServerError || x.stream != nil {
-		return sendResult{outcome: sqattempt.Failed, reason: "the endpoint answered " + http.StatusText(response.status),
+	response := &bufferedResponse{status: status, header: reply.Header(), body: body, framing: reply.Framing()}
+	if failed {
+		return sendResult{outcome: sqattempt.Failed, reason: "the endpoint answered " + http.StatusText(status),
 			response: response, reached: true}, false
 	}
 	x.countForBilling()
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 	"sequoiadock/io/sqlink"
 	"sequoiadock/io/sqlocate"
 	"sequoiadock/io/sqlog"
+	"sequoiadock/io/sqmemory"
 	"sequoiadock/io/sqrpc"
 )
 
@@ -54,6 +56,9 @@
 	// was last known to be the newest, if a newer one is known. The rest covers requests
 	// that are being handled at the end.
 	supersededPercent = 80
+	// memoryLimitBytes is the size of the process above which the garbage collector does all
+	// it can, below the 128 MB of a small VM.
+	memoryLimitBytes = 96 << 20
 	// sweepInterval is the time between two calls of Pool.CloseIdle, which closes
 	// idle connections to endpoints.
 	sweepInterval = 500 * time.Millisecond
@@ -100,6 +105,7 @@
 	pool              *sqlink.Pool
 	locator           *sqlocate.Locator
 	coordinatorClient *http.Client
+	responseMemory    *sqmemory.Pool
 	// view is replaced with viewMu held; freshness says until when it may be used.
 	view             atomic.Pointer[view]
 	viewMu           sync.Mutex
@@ -131,6 +137,7 @@
 // Run runs a gateway until ctx ends and the graceful shutdown is complete. It
 // returns an error if an address cannot be listened on or a server fails.
 func Run(ctx context.Context, cfg Config) error {
+	debug.SetMemoryLimit(memoryLimitBytes)
 	g := newGateway(cfg)
 	listeners, err := listenAll(cfg.CallerAddress, cfg.ReadinessAddress, cfg.DirectoryAddress, cfg.InternalAddress)
 	if err != nil {
@@ -145,7 +152,8 @@
 	_, _ = rand.Read(seed[:])
 	g := &gateway{
 		cfg: cfg, runID: hex.EncodeToString(seed[:]), log: cfg.Log, pool: sqlink.NewPool(),
-		locator: sqlocate.New(cfg.Seeds), heartbeatTrigger: make(chan struct{}, 1),
+		responseMemory: sqmemory.NewPool(maxTotalKeptBytes),
+		locator:        sqlocate.New(cfg.Seeds), heartbeatTrigger: make(chan struct{}, 1),
 		firstViewReceived: make(chan struct{}),
 		freshness:         sqfreshness.New(sqfreshness.Config{MaxSuperseded: cfg.TableApplyTimeout * supersededPercent / 100}),
 		awaitedTables:     make(chan awaitedTable, 1),
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -37,6 +37,7 @@
 		tableSeconds:      set.NewHistogram("sequoiadock_gateway_table_seconds"),
 	}
 	set.NewGauge("sequoiadock_gateway_running", func() float64 { return float64(m.running.Load()) })
+	set.NewGauge("sequoiadock_gateway_response_bytes", func() float64 { return float64(g.responseMemory.UsedBytes()) })
 	set.NewGauge("sequoiadock_gateway_connections", func() float64 { return float64(g.pool.OpenConnections()) })
 	set.NewGauge("sequoiadock_gateway_version", func() float64 {
 		if t := g.view.Load().table; t != nil {
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -48,10 +48,13 @@
 	}
 	defer reply.Close()
 	x.g.recordReports(sentAt, e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
-	body, err := io.ReadAll(io.LimitReader(reply, maxReadBytes))
+	body, err := io.ReadAll(io.LimitReader(reply, maxReadBytes+1))
 	if err != nil {
 		return "", true, err
 	}
+	if len(body) > maxReadBytes {
+		return "", true, sqerror.New(sqerror.Config{Kind: sqerror.BadResponse, Detail: "the response to the prefill is too long"})
+	}
 	if reply.Status() != http.StatusOK {
 		return "", true, prefillError(reply.Status())
 	}
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -12,6 +12,7 @@
 	"sequoiadock/core/sqattempt"
 	"sequoiadock/core/sqtable"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqmemory"
 )
 
 const (
@@ -63,14 +64,18 @@
 	// sendFirstEventAt is when the first event of the last send came, or the zero time.
 	sendFirstEventAt time.Time
 	billed           bool
-	stream           *stream
+	// memory is reserved for what is kept of responses.
+	memory *sqmemory.Reservation
+	stream *stream
 }
 
 // handle admits one request of a caller and sends it to endpoints.
 func (g *gateway) handle(w http.ResponseWriter, r *http.Request) {
 	g.metrics.running.Add(1)
 	defer g.metrics.running.Add(-1)
-	x := &request{g: g, w: w, r: r, receivedAt: sqclock.Now(), attempt: g.cfg.Wire.ParseAttempt(r.Header)}
+	x := &request{g: g, w: w, r: r, receivedAt: sqclock.Now(), attempt: g.cfg.Wire.ParseAttempt(r.Header),
+		memory: g.responseMemory.NewReservation()}
+	defer x.memory.Release()
 	if !x.admit() {
 		return
 	}
@@ -111,7 +116,7 @@
 	x.service = x.route.PickService(rand.Float64())
 	x.urgent = x.table.MostUrgent(x.route, x.service)
 	x.setDeadline()
-	return x.readBody()
+	return x.readRequestBody()
 }
 
 // headerBytes returns the total length of the header names and values.
@@ -152,9 +157,9 @@
 	x.deadline = x.receivedAt.Add(timeout)
 }
 
-// readBody reads the whole body into memory, so that it can be sent again. It
+// readRequestBody reads the whole body into memory, so that it can be sent again. It
 // returns false if the request was refused.
-func (x *request) readBody() bool {
+func (x *request) readRequestBody() bool {
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return true
 	}
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -61,6 +61,8 @@
 			}
 		}
 		switch {
+		case !x.keepEvent(framer.HeldBytes()):
+			return sendResult{outcome: sqattempt.Broken, reason: "no memory for a long event", reached: true}, false
 		case framer.Invalid():
 			return sendResult{outcome: sqattempt.Broken, reason: "an event is too long or out of order", reached: true}, false
 		case errors.Is(err, io.EOF) && !framer.CompleteAtEnd(reply.Framing().MarksEnd()):
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -30,6 +30,7 @@
 	EndpointLimited      = Event{6025, Info, "endpoint limits the requests of all gateways and gets them with permits only", []string{"endpoint", "perSecond", "from"}}
 	EndpointLimitEnded   = Event{6026, Info, "endpoint has ended its limit", []string{"endpoint", "from"}}
 	LimitUnreadable      = Event{6027, Warn, "limit that an endpoint names cannot be read and is ignored", []string{"endpoint", "value"}}
+	ResponseMemoryShort  = Event{6028, Warn, "no memory for a long event of a response", []string{"request", "endpoint", "usedBytes"}}
 )
 
 var gatewayEvents = []Event{
@@ -37,5 +38,5 @@
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
 	EndpointLeaving, DepartureForgotten, EndpointRefuses, EndpointRefusalEnded, RetryAfterUnreadable,
-	TablePieceFailed, TableOutdated, EndpointLimited, EndpointLimitEnded, LimitUnreadable,
+	TablePieceFailed, TableOutdated, EndpointLimited, EndpointLimitEnded, LimitUnreadable, ResponseMemoryShort,
 }
--- a/core/sqframe/sqframe.go
+++ b/core/sqframe/sqframe.go
@@ -9,7 +9,7 @@
 )
 
 // MaxEventBytes is the size of the longest event that is accepted.
-const MaxEventBytes = 1 << 20
+const MaxEventBytes = 256 << 10
 
 // Framer buffers the bytes of one event stream. The zero value is an empty buffer.
 // A Framer is not safe for concurrent use.
@@ -58,6 +58,9 @@
 // LastID returns the ID of the last complete event that has one, or "".
 func (f *Framer) LastID() string { return f.lastID }
 
+// HeldBytes returns how much memory the framer holds.
+func (f *Framer) HeldBytes() int { return cap(f.buf) }
+
 // Buffered returns the bytes after the last complete event.
 func (f *Framer) Buffered() []byte { return f.buf }
 
--- a/io/sqlink/conn.go
+++ b/io/sqlink/conn.go
@@ -21,7 +21,7 @@
 
 const (
 	// maxHeaderBytes limits the status line and headers of a response.
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 32 << 10
 	// maxMismatched is how many responses to other requests are skipped before the
 	// connection is closed, and maxMismatchedBytes the maximum body size of one.
 	maxMismatched      = 2
