A long event that arrives a little at a time is searched once

Cause: the position of the search was not kept. Now the search goes on where it stopped, and nothing is copied while no event is complete.

--- a/core/sqframe/sqframe.go
+++ b/core/sqframe/sqframe.go
@@ -15,6 +15,9 @@
 // A Framer is not safe for concurrent use.
 type Framer struct {
 	buf []byte
+	// The buffer was searched for the end of an event up to searched, within a line that
+	// begins at lineStart.
+	lineStart, searched int
 	// lastID is the ID of the last complete event that has one, or "".
 	lastID string
 	// invalid is true once an event was out of order.
@@ -27,6 +30,7 @@
 // with the ID lastID.
 func (f *Framer) ResumeAfter(lastID string) {
 	f.buf, f.lastID = f.buf[:0], lastID
+	f.lineStart, f.searched = 0, 0
 }
 
 // Push adds bytes to the buffer, removes the events that are now complete and
@@ -35,19 +39,23 @@
 	f.buf = append(f.buf, b...)
 	end := 0
 	for {
-		n := eventLength(f.buf[end:])
-		if n == 0 {
+		next := f.nextEvent()
+		if next == 0 {
 			break
 		}
-		if !f.accept(f.buf[end : end+n]) {
+		if !f.accept(f.buf[end:next]) {
 			f.invalid = true
 			break
 		}
-		end += n
+		end = next
 		f.hasEvent = true
 	}
+	if end == 0 {
+		return nil
+	}
 	complete := bytes.Clone(f.buf[:end])
 	f.buf = append(f.buf[:0], f.buf[end:]...)
+	f.lineStart, f.searched = f.lineStart-end, f.searched-end
 	return complete
 }
 
@@ -88,19 +96,20 @@
 	return true
 }
 
-// eventLength returns the length of the first event in bytes, including the blank
-// line that ends it, or 0 if the event is incomplete.
-func eventLength(b []byte) int {
-	end := 0
+// nextEvent goes on with the search for the end of an event, which is a blank line, and
+// returns the position after it, or 0 if there is none yet.
+func (f *Framer) nextEvent() int {
 	for {
-		i := bytes.IndexByte(b[end:], '\n')
+		i := bytes.IndexByte(f.buf[f.searched:], '\n')
 		if i < 0 {
+			f.searched = len(f.buf)
 			return 0
 		}
-		line := bytes.TrimSuffix(b[end:end+i], []byte("\r"))
-		end += i + 1
+		line := bytes.TrimSuffix(f.buf[f.lineStart:f.searched+i], []byte("\r"))
+		f.searched += i + 1
+		f.lineStart = f.searched
 		if len(line) == 0 {
-			return end
+			return f.lineStart
 		}
 	}
 }
