Informational responses without end do not hold a call until its deadline

Of heads without end, header and status lines and answers of other requests were bounded before; responses 1xx were skipped without a limit. Now the 17th ends the call as a malformed response, and the request can go to another endpoint.

--- a/io/sqlink/conn.go
+++ b/io/sqlink/conn.go
@@ -24,7 +24,9 @@
 	maxHeaderBytes = 32 << 10
 	// maxMismatched is how many responses to other requests are skipped before the
 	// connection is closed, and maxMismatchedBytes the maximum body size of one.
-	maxMismatched      = 2
+	maxMismatched = 2
+	// maxInformational is how many informational (1xx) responses are skipped.
+	maxInformational   = 16
 	maxMismatchedBytes = 1 << 20
 	// maxInlineBytes is the longest body that is written before the response is read.
 	// Longer bodies are written concurrently, since an endpoint may respond before it
@@ -134,10 +136,10 @@
 	return nil, badResponse("only answers of other requests came", nil)
 }
 
-// readHeader reads the status line and headers of the next response and skips
+// readHeader reads the status line and headers of the next response and skips some
 // informational (1xx) responses.
 func (c *conn) readHeader(req *http.Request) (*http.Response, error) {
-	for {
+	for range maxInformational + 1 {
 		c.limiter.remaining = maxHeaderBytes
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, c.endpointError("no answer came", err)
@@ -154,6 +156,7 @@
 			return res, nil
 		}
 	}
+	return nil, badResponse("only informational responses came", nil)
 }
 
 func isConnectionError(err error) bool {
