--- a/io/sqguard/sqguard.go
+++ b/io/sqguard/sqguard.go
@@ -17,6 +17,9 @@
 // that a full socket buffer does not trigger the watchdog.
 const writeMargin = 50 * time.Millisecond
 
+// maxResponseHeaderBytes limits the headers of a response.
+const maxResponseHeaderBytes = 64 << 10
+
 // Lease returns the end of the lease, on the clock of now, and whether the lease
 // is held. It must be safe for concurrent use.
 type Lease func(now time.Time) (until time.Time, held bool)
@@ -60,8 +63,9 @@
 	return &http.Client{
 		Timeout: timeout,
 		Transport: &http.Transport{
-			DialContext:       g.dial,
-			DisableKeepAlives: true,
+			DialContext:            g.dial,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 	}
 }
--- a/io/sqhttp/sqhttp.go
+++ b/io/sqhttp/sqhttp.go
@@ -11,8 +11,12 @@
 	"sequoiadock/core/sqerror"
 )
 
-// idleTimeout is how long a client keeps an idle connection.
-const idleTimeout = time.Minute
+const (
+	// idleTimeout is how long a client keeps an idle connection.
+	idleTimeout = time.Minute
+	// maxResponseHeaderBytes limits the headers of a response.
+	maxResponseHeaderBytes = 64 << 10
+)
 
 // Listen listens on a TCP address. Its errors are of kind Unreachable.
 func Listen(address string) (net.Listener, error) {
@@ -28,6 +32,7 @@
 	dialer := &net.Dialer{Timeout: timeout}
 	return &http.Client{Timeout: timeout, Transport: meteredTransport{next: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}}
 }
 
--- /dev/null
+++ b/io/sqhttp/sqhttp_test.go
@@ -0,0 +1,53 @@
+package sqhttp
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEndlessHeadersHoldCall fails if response headers without end hold a call until its timeout.
+func TestEndlessHeadersHoldCall(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("X-Again: x\r\n", maxResponseHeaderBytes/6))
+		<-t.Context().Done()
+	}))
+	// The handler ends with the test's context, before the server is closed.
+	t.Cleanup(srv.CloseClientConnections)
+	const timeout = 10 * time.Second
+	start := time.Now()
+	res, err := NewClient(timeout).Get(srv.URL)
+	if err == nil {
+		_ = res.Body.Close()
+	}
+	assert.ErrorContains(t, err, "headers exceeded")
+	assert.Assert(t, time.Since(start) < timeout/2, "%s", time.Since(start))
+}
+
+// TestTransferIsMeasured checks the times and the size of a response, and of one that never
+// comes.
+func TestTransferIsMeasured(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "12345") }))
+	t.Cleanup(srv.Close)
+	ctx, transfer := WithTransfer(t.Context())
+	assert.Assert(t, transfer.FirstByte() < 0)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, srv.URL, http.NoBody)
+	assert.NilError(t, err)
+	res, err := NewClient(time.Second).Do(req)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, transfer.Bytes(), int64(5))
+	assert.Assert(t, transfer.FirstByte() >= 0 && transfer.Elapsed(transfer.startedAt.Add(time.Second)) == time.Second)
+}
