--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	sqcore "sequoiadock/core"
@@ -41,8 +43,11 @@
 	heartbeats        int
 	suspects          []*sqrpc.PromptPart
 	quarantines       []*sqrpc.Quarantine
-	// crashes collects the reported crashes.
-	crashes []*sqrpc.CrashReport
+	// crashes collects the reported crashes, limitReports what is reported of limits.
+	crashes      []*sqrpc.CrashReport
+	limitReports []*sqrpc.LimitReport
+	// limits are the limits of the next responses. Their permits are issued once.
+	limits []*sqrpc.EndpointLimit
 }
 
 // Beat implements sqrpc.Coordinator.
@@ -55,12 +60,26 @@
 	h.lastRequest = req
 	h.heartbeats++
 	h.crashes = append(h.crashes, req.GetCrashes()...)
+	h.limitReports = append(h.limitReports, req.GetLimitReports()...)
+	for _, r := range req.GetLimitReports() {
+		i := slices.IndexFunc(h.limits, func(l *sqrpc.EndpointLimit) bool { return l.GetEndpoint() == r.GetEndpoint() })
+		switch {
+		case r.GetNamed() && i < 0:
+			h.limits = append(h.limits, &sqrpc.EndpointLimit{Endpoint: r.GetEndpoint(), PerSecond: r.GetPerSecond(), AgeMillis: r.GetAgeMillis()})
+		case !r.GetNamed() && i >= 0:
+			h.limits = slices.Delete(h.limits, i, i+1)
+		}
+	}
 	res := &sqrpc.BeatResponse{
 		FreshMillis: uint32(h.freshFor.Milliseconds()), TableVersion: h.version,
 		FleetRevision: h.revision, GatewayCount: 1, TrueUnixNano: time.Now().UnixNano(), Holder: "holder",
-		Suspects: h.suspects, Quarantines: h.quarantines,
+		Suspects: h.suspects, Quarantines: h.quarantines, Term: 1,
 		Gateways: []*sqrpc.GatewayAddress{{Address: req.GetAddress(), Zone: req.GetZone()}},
 	}
+	for _, l := range h.limits {
+		res.Limits = append(res.Limits, proto.CloneOf(l))
+		l.Permits = 0
+	}
 	for i := range h.fleet {
 		res.Endpoints = append(res.Endpoints, sqrpc.FromEndpoint(time.Now(), &h.fleet[i]))
 	}
--- a/app/sqgateway/wire_test.go
+++ b/app/sqgateway/wire_test.go
@@ -50,7 +50,8 @@
 func (testWire) ParseResponse(status int, headers map[string][]string) sqattempt.Response {
 	h := http.Header(headers)
 	return sqattempt.Response{AttemptID: h.Get("X-Attempt"), NotRun: h.Get("X-Not-Run") != "",
-		Leaving: h.Get("X-Leaving") != "", Signed: h.Get("X-Signed") != ""}
+		Leaving: h.Get("X-Leaving") != "", Signed: h.Get("X-Signed") != "",
+		Limit: sqattempt.ParseRateLimit(h.Get("X-Limit"))}
 }
 
 func (testWire) ParsePrefillHandle(body []byte) (string, error) {
