--- a/app/sqcoordinator/metrics.go
+++ b/app/sqcoordinator/metrics.go
@@ -24,6 +24,9 @@
 	c.metrics.NewGauge("sequoiadock_coordinator_quarantined_parts", func() float64 {
 		return c.termGauge(func(time.Time, *termState) float64 { return float64(c.activeQuarantines(sqclock.Wall())) })
 	})
+	c.metrics.NewGauge("sequoiadock_coordinator_limited_endpoints", func() float64 {
+		return c.termGauge(func(_ time.Time, t *termState) float64 { return float64(len(t.limits.Limits())) })
+	})
 	c.metrics.NewGauge("sequoiadock_coordinator_list_age_seconds", func() float64 {
 		return c.termGauge(func(now time.Time, t *termState) float64 { return t.listAge(now).Seconds() })
 	})
