--- a/io/sqlink/endless_test.go
+++ b/io/sqlink/endless_test.go
@@ -26,14 +26,14 @@
 		"answer of others": {"", "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nContent-Length: 0\r\n\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			closed := make(chan error, 1)
+			closed := make(chan struct{})
 			e := serve(t, func(_ int, _ *http.Request, w net.Conn) bool {
 				chunk := bytes.Repeat([]byte(c.again), 1000)
 				_, err := io.WriteString(w, c.first)
 				for err == nil {
 					_, err = w.Write(chunk)
 				}
-				closed <- err
+				close(closed)
 				return false
 			})
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
