--- a/app/sqcoordinator/bench_test.go
+++ b/app/sqcoordinator/bench_test.go
@@ -30,7 +30,7 @@
 		reqs[i] = newBeatRequest(fmt.Sprintf("front-zone-%d", i), 1)
 		reqs[i].Address = fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250)
 		for e := range endpoints {
-			reqs[i].Loads = append(reqs[i].Loads, &sqrpc.InFlight{Id: fmt.Sprintf("i-%010d", e), Running: 2, UnreadTokens: 700})
+			reqs[i].Loads = append(reqs[i].Loads, &sqrpc.InFlight{Id: fmt.Sprintf("i-%010d", e), Running: 2, UncachedTokens: 700})
 		}
 	}
 	for _, at := range []time.Time{now.Add(-gatewayCountDelay), now} {
@@ -51,7 +51,7 @@
 				now := time.Unix(1000, 0)
 				ts, reqs := benchTerm(c, now, size.gateways, size.endpoints)
 				if isFirst {
-					fillPromptReads(ts)
+					fillCacheUpdates(ts)
 				}
 				bytes, n := 0, 0
 				for b.Loop() {
@@ -59,8 +59,8 @@
 					res := &sqrpc.BeatResponse{}
 					req.DirectoryRevision, req.FleetRevision = ts.gateways.directoryRevision, ts.fleetRevision
 					if isFirst {
-						req.DirectoryRevision, req.FleetRevision, req.ReadsSeen = 0, 0, 0
-						ts.promptReads.exchange(req, res)
+						req.DirectoryRevision, req.FleetRevision, req.LastCacheUpdate = 0, 0, 0
+						ts.cacheUpdates.exchange(req, res)
 					}
 					c.recordBeat(now, ts, req)
 					c.fillBeatResponse(now, ts, req, res)
@@ -75,11 +75,11 @@
 	}
 }
 
-// fillPromptReads makes the log of prompt reads as long as it can be.
-func fillPromptReads(ts *termState) {
-	for i := range maxKeptPromptReads {
-		ts.promptReads.exchange(&sqrpc.BeatRequest{Gateway: "other", ReadsSeen: ts.promptReads.nextNumber, Reads: []*sqrpc.PromptRead{
-			{Endpoint: fmt.Sprintf("i-%010d", i), Beginning: uint64(i) << 40, Tokens: 13300, Own: 3700},
+// fillCacheUpdates makes the log of cache updates as long as it can be.
+func fillCacheUpdates(ts *termState) {
+	for i := range maxKeptCacheUpdates {
+		ts.cacheUpdates.exchange(&sqrpc.BeatRequest{Gateway: "other", LastCacheUpdate: ts.cacheUpdates.nextNumber, CacheUpdates: []*sqrpc.CacheUpdate{
+			{Endpoint: fmt.Sprintf("i-%010d", i), PrefixHash: uint64(i) << 40, Tokens: 13300, SuffixTokens: 3700},
 		}}, &sqrpc.BeatResponse{})
 	}
 }
--- a/app/sqcoordinator/gateways.go
+++ b/app/sqcoordinator/gateways.go
@@ -38,8 +38,8 @@
 
 // inFlight is the work that is in flight at an endpoint.
 type inFlight struct {
-	running      uint32
-	unreadTokens uint64
+	running        uint32
+	uncachedTokens uint64
 }
 
 // inFlightSum is the sum of what a number of gateways have in flight at an endpoint.
@@ -87,7 +87,7 @@
 	r.uncount(gw)
 	gw.inFlight = make(map[string]inFlight, len(req.GetLoads()))
 	for _, l := range req.GetLoads() {
-		gw.inFlight[l.GetId()] = inFlight{running: l.GetRunning(), unreadTokens: l.GetUnreadTokens()}
+		gw.inFlight[l.GetId()] = inFlight{running: l.GetRunning(), uncachedTokens: l.GetUncachedTokens()}
 	}
 	r.count(gw)
 	previous := gw.demand
@@ -122,7 +122,7 @@
 		}
 		sum.gateways++
 		sum.running += l.running
-		sum.unreadTokens += l.unreadTokens
+		sum.uncachedTokens += l.uncachedTokens
 	}
 }
 
@@ -136,7 +136,7 @@
 		sum := r.inFlight[id]
 		sum.gateways--
 		sum.running -= l.running
-		sum.unreadTokens -= l.unreadTokens
+		sum.uncachedTokens -= l.uncachedTokens
 		if sum.gateways == 0 {
 			delete(r.inFlight, id)
 		}
@@ -188,7 +188,7 @@
 			continue
 		}
 		m := &messages[len(others)]
-		m.Id, m.Running, m.UnreadTokens = id, sum.running-l.running, sum.unreadTokens-l.unreadTokens
+		m.Id, m.Running, m.UncachedTokens = id, sum.running-l.running, sum.uncachedTokens-l.uncachedTokens
 		others = append(others, m)
 	}
 	return others
--- a/app/sqcoordinator/gateways_test.go
+++ b/app/sqcoordinator/gateways_test.go
@@ -38,7 +38,7 @@
 			req := registryBeat(fmt.Sprint("g", rng.IntN(6)))
 			req.Run = fmt.Sprint(rng.IntN(2))
 			for e := range rng.IntN(5) {
-				req.Loads = append(req.Loads, &sqrpc.InFlight{Id: fmt.Sprint("e", e), Running: uint32(rng.IntN(3)), UnreadTokens: uint64(rng.IntN(100))})
+				req.Loads = append(req.Loads, &sqrpc.InFlight{Id: fmt.Sprint("e", e), Running: uint32(rng.IntN(3)), UncachedTokens: uint64(rng.IntN(100))})
 			}
 			last[req.GetGateway()], beatAt[req.GetGateway()] = req, now
 			r.record(now, req, nil)
@@ -51,12 +51,12 @@
 				}
 				for _, l := range q.GetLoads() {
 					sum := want[l.GetId()]
-					want[l.GetId()] = inFlight{sum.running + l.GetRunning(), sum.unreadTokens + l.GetUnreadTokens()}
+					want[l.GetId()] = inFlight{sum.running + l.GetRunning(), sum.uncachedTokens + l.GetUncachedTokens()}
 				}
 			}
 			got := map[string]inFlight{}
 			for _, l := range r.othersInFlight(req.GetGateway()) {
-				got[l.GetId()] = inFlight{l.GetRunning(), l.GetUnreadTokens()}
+				got[l.GetId()] = inFlight{l.GetRunning(), l.GetUncachedTokens()}
 			}
 			for id, l := range want {
 				assert.Equal(t, got[id], l, "seed %d", seed)
--- a/app/sqcoordinator/group_test.go
+++ b/app/sqcoordinator/group_test.go
@@ -152,7 +152,7 @@
 }
 
 // TestBeat checks that the response to a heartbeat has the table, the loads of the other
-// gateways and their prompt reads if the gateway lacks them, and that only the lease
+// gateways and their cache updates if the gateway lacks them, and that only the lease
 // holder answers.
 func TestBeat(t *testing.T) {
 	t.Parallel()
@@ -161,24 +161,24 @@
 	ctx := context.Background()
 	holder := g.nodes[g.holder()]
 	req := newBeatRequest("g1", 1)
-	req.Loads = []*sqrpc.InFlight{{Id: "e1", Running: 3, UnreadTokens: 70}}
-	req.Reads = []*sqrpc.PromptRead{{Endpoint: "e1", Beginning: 7, Tokens: 900}}
+	req.Loads = []*sqrpc.InFlight{{Id: "e1", Running: 3, UncachedTokens: 70}}
+	req.CacheUpdates = []*sqrpc.CacheUpdate{{Endpoint: "e1", PrefixHash: 7, Tokens: 900}}
 	res, err := holder.Beat(ctx, req)
 	assert.NilError(t, err)
 	assert.Equal(t, string(res.GetTableDocument()), string(tableDocument(4)))
-	assert.Equal(t, len(res.GetOthers())+len(res.GetReads()), 0)
+	assert.Equal(t, len(res.GetOthers())+len(res.GetCacheUpdates()), 0)
 	other := newBeatRequest("g2", 1)
 	other.TableVersion = 4
 	res, err = holder.Beat(ctx, other)
 	assert.NilError(t, err)
 	assert.Equal(t, len(res.GetTableDocument()), 0, "the gateway already has this version")
-	assert.Equal(t, res.GetOthers()[0].GetUnreadTokens(), uint64(70))
-	assert.Equal(t, res.GetReads()[0].GetBeginning(), uint64(7))
+	assert.Equal(t, res.GetOthers()[0].GetUncachedTokens(), uint64(70))
+	assert.Equal(t, res.GetCacheUpdates()[0].GetPrefixHash(), uint64(7))
 	assert.Equal(t, len(res.GetGateways()), 2)
-	other.ReadsSeen, other.Leaving = res.GetReadsSeen(), true
+	other.LastCacheUpdate, other.Leaving = res.GetLastCacheUpdate(), true
 	res, err = holder.Beat(ctx, other)
 	assert.NilError(t, err)
-	assert.Equal(t, len(res.GetReads()), 0)
+	assert.Equal(t, len(res.GetCacheUpdates()), 0)
 	assert.Equal(t, len(res.GetGateways()), 1, "a gateway that leaves must not be in the directory")
 	_, err = g.nodes[g.follower()].Beat(ctx, req)
 	assert.Equal(t, sqerror.KindOf(sqrpc.FromTwirp(err)), sqerror.NotHolder)
--- a/app/sqcoordinator/heartbeat.go
+++ b/app/sqcoordinator/heartbeat.go
@@ -84,7 +84,7 @@
 	c.recordDepartures(now, t, req)
 	c.exchangeLimits(now, t, req, res)
 	c.fillBeatResponse(now, t, req, res)
-	t.promptReads.exchange(req, res)
+	t.cacheUpdates.exchange(req, res)
 	c.exchangeEvidence(now, t, req, res)
 	c.mu.Unlock()
 	if err := c.checkLease(t); err != nil {
--- a/app/sqcoordinator/holder.go
+++ b/app/sqcoordinator/holder.go
@@ -23,8 +23,8 @@
 	"sequoiadock/io/sqlog"
 )
 
-// counterBits is how many low bits of a fleet revision, or of the number of a prompt
-// read, count within one term. The higher bits hold the term.
+// counterBits is how many low bits of a fleet revision, or of the number of a cache
+// update, count within one term. The higher bits hold the term.
 const counterBits = 24
 
 // termState is what the lease holder knows in one term. It starts empty: of what an
@@ -49,10 +49,10 @@
 	fleetReadFailing bool
 	// usageFenced is true once the platform has rejected a usage report because it has
 	// seen a newer lease.
-	usageFenced bool
-	orders      orderState
-	promptReads promptReadLog
-	quarantine  *sqquarantine.Tracker
+	usageFenced  bool
+	orders       orderState
+	cacheUpdates cacheUpdateLog
+	quarantine   *sqquarantine.Tracker
 	// departures holds the endpoints that gateways reported to be about to stop.
 	departures *sqdeparture.Log
 	// limits holds the limits that endpoints name.
@@ -63,7 +63,7 @@
 	return &termState{
 		term: term, startedAt: now, announcements: map[uint64]sqquorum.Candidate{}, gateways: newGatewayRegistry(log, term),
 		requestCounts: sqwindow.NewCollector(now, billingWindow), clockOffsets: sqoffset.New(), fleetRevision: term << counterBits,
-		orders: newOrderState(), promptReads: newPromptReadLog(term),
+		orders: newOrderState(), cacheUpdates: newCacheUpdateLog(term),
 		quarantine: sqquarantine.NewTracker(), departures: sqdeparture.NewLog(), limits: sqlimit.NewIssuer(),
 	}
 }
--- a/app/sqcoordinator/loads.go
+++ b/app/sqcoordinator/loads.go
@@ -61,7 +61,7 @@
 		}
 		if l := t.gateways.inFlight[e.ID()]; l != nil {
 			p.runningRequests += l.running
-			p.pendingPrefillTokens += l.unreadTokens
+			p.pendingPrefillTokens += l.uncachedTokens
 		}
 	}
 	return pools
--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -16,17 +16,8 @@
 	"sequoiadock/io/sqrpc"
 )
 
-const (
-	// capacityInterval is the period of planning the endpoints and their stages.
-	capacityInterval = 500 * time.Millisecond
-	// stageDrainTime is how long gateways have to stop sending requests to an engine
-	// before its stage is changed.
-	stageDrainTime = 600 * time.Millisecond
-	// stagePollInterval is the period of polling an engine for the end of its stage
-	// change, maxStagePolls the number of polls after which it counts as complete.
-	stagePollInterval = 200 * time.Millisecond
-	maxStagePolls     = 10
-)
+// capacityInterval is the period of planning the endpoints and their stages.
+const capacityInterval = 500 * time.Millisecond
 
 // orderState is what the lease holder plans orders by and has ordered in its term.
 // The coordinator's mu guards it.
@@ -81,7 +72,7 @@
 			o.demand[service] = sum
 		}
 		p := previous[service]
-		sum.PrefillTokens += float64(d.GetUnreadTokens() - p.GetUnreadTokens())
+		sum.PrefillTokens += float64(d.GetUncachedTokens() - p.GetUncachedTokens())
 		sum.Requests += float64(d.GetRequests() - p.GetRequests())
 		sum.DecodeTime += time.Duration(d.GetBusyMillis()-p.GetBusyMillis()) * time.Millisecond
 	}
@@ -217,70 +208,6 @@
 	c.log.Event(sqevent.EndpointsOrdered, o.Service, o.Zone, o.Spot, o.Count, o.Listed, o.Reason)
 }
 
-// changeStage changes the stage of one engine after gateways have stopped sending it
-// requests, and lets gateways use the engine again afterwards.
-func (c *coordinator) changeStage(ctx context.Context, t *termState, change sqcapacity.StageChange) {
-	e := &change.Endpoint
-	err := c.sendStageOrder(ctx, t, change)
-	if err != nil {
-		c.log.Event(sqevent.StageRefused, e.ID(), change.Stage.String(), err.Error())
-		c.recordEngineLeaving(t, e, err)
-	} else {
-		c.log.Event(sqevent.StageOrdered, e.ID(), change.Stage.String(), change.Reason)
-		c.awaitStageChange(ctx, t, e)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(t.orders.changingStage, e.ID())
-	if err == nil {
-		t.orders.stageOverrides[e.ID()] = change.Stage
-	}
-	t.fleetRevision++
-}
-
-// sendStageOrder waits for stageDrainTime and orders the engine to change its stage.
-func (c *coordinator) sendStageOrder(ctx context.Context, t *termState, change sqcapacity.StageChange) error {
-	e := &change.Endpoint
-	sqclock.Sleep(ctx, stageDrainTime)
-	c.mu.Lock()
-	limited := t.limits.Limited(e.ID())
-	c.mu.Unlock()
-	if limited {
-		return sqerror.New(sqerror.Config{Kind: sqerror.Refused, Detail: "the engine limits its requests"})
-	}
-	accepted, busy, err := c.engines.AcceptedOrders(ctx, e)
-	if err != nil {
-		return err
-	}
-	if busy {
-		return sqerror.New(sqerror.Config{Kind: sqerror.Refused, Detail: "the engine carries out another order"})
-	}
-	return c.engines.SetStage(ctx, c.platformLease(t), e, change.Stage, accepted)
-}
-
-// awaitStageChange waits until the engine has carried out its order, at most for its
-// switch time and maxStagePolls polls.
-func (c *coordinator) awaitStageChange(ctx context.Context, t *termState, e *sqplace.Endpoint) {
-	c.mu.Lock()
-	switchTime := t.orders.stageSwitchTime(e.Service())
-	c.mu.Unlock()
-	sqclock.Sleep(ctx, switchTime)
-	for range maxStagePolls {
-		if !c.mayCallEngine(sqclock.Now(), t, e.ID()) {
-			if !sqclock.Sleep(ctx, stagePollInterval) {
-				return
-			}
-			continue
-		}
-		_, busy, err := c.engines.AcceptedOrders(ctx, e)
-		c.recordEngineLeaving(t, e, err)
-		done := err == nil && !busy || sqerror.KindOf(err) == sqerror.Leaving
-		if done || !sqclock.Sleep(ctx, max(stagePollInterval, sqerror.RetryAfterOf(err))) {
-			return
-		}
-	}
-}
-
 // endpointsForGateways returns the endpoints as gateways see them: with the stages that
 // the platform's list may not show yet, and with the engines whose stage is being changed
 // and the endpoints that are about to stop as draining, so that they get no new requests.
--- a/app/sqcoordinator/orders_test.go
+++ b/app/sqcoordinator/orders_test.go
@@ -57,7 +57,7 @@
 func TestDemandIncrements(t *testing.T) {
 	o := newOrderState()
 	demandOf := func(n uint64) map[string]*sqrpc.ServiceDemand {
-		return map[string]*sqrpc.ServiceDemand{"s": {Service: "s", Requests: n, UnreadTokens: 10 * n, BusyMillis: n}}
+		return map[string]*sqrpc.ServiceDemand{"s": {Service: "s", Requests: n, UncachedTokens: 10 * n, BusyMillis: n}}
 	}
 	o.addDemand(nil, demandOf(5))
 	o.addDemand(demandOf(5), demandOf(8))
--- a/app/sqgateway/demand.go
+++ b/app/sqgateway/demand.go
@@ -18,7 +18,7 @@
 
 func (d *demand) toProto(service string) *sqrpc.ServiceDemand {
 	return &sqrpc.ServiceDemand{
-		Service: service, Requests: d.requests, Refused: d.refused, UnreadTokens: d.uncachedTokens,
+		Service: service, Requests: d.requests, Refused: d.refused, UncachedTokens: d.uncachedTokens,
 		BusyMillis: uint64(d.decodeTime.Milliseconds()),
 	}
 }
--- /dev/null
+++ b/app/sqgateway/fakeholder_test.go
@@ -0,0 +1,103 @@
+package sqgateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sequoiadock/core/sqerror"
+	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqtransfer"
+	"sequoiadock/io/sqrpc"
+)
+
+// fakeLeaseHolder is a coordinator whose responses a test controls. While notHolder
+// is set, it responds to heartbeats that it does not hold the lease.
+type fakeLeaseHolder struct {
+	sqrpc.Coordinator
+	mu        sync.Mutex
+	notHolder bool
+	freshFor  time.Duration
+	table     []byte
+	tables    sqtransfer.Store
+	// withholdTable is set if the holder names the version but does not send its table.
+	withholdTable bool
+	// version is the version of the table, revision that of the fleet.
+	version, revision uint64
+	fleet             []sqplace.Endpoint
+	lastRequest       *sqrpc.BeatRequest
+	heartbeats        int
+	suspects          []*sqrpc.PromptPart
+	quarantines       []*sqrpc.Quarantine
+	// crashes collects the reported crashes, limitReports what is reported of limits.
+	crashes      []*sqrpc.CrashReport
+	limitReports []*sqrpc.LimitReport
+	// limits are the limits of the next responses. Their permits are issued once.
+	limits []*sqrpc.EndpointLimit
+}
+
+// Beat implements sqrpc.Coordinator.
+func (h *fakeLeaseHolder) Beat(_ context.Context, req *sqrpc.BeatRequest) (*sqrpc.BeatResponse, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.notHolder {
+		return nil, sqrpc.ToTwirp(sqerror.New(sqerror.Config{Kind: sqerror.NotHolder}))
+	}
+	h.lastRequest = req
+	h.heartbeats++
+	h.crashes = append(h.crashes, req.GetCrashes()...)
+	h.limitReports = append(h.limitReports, req.GetLimitReports()...)
+	for _, r := range req.GetLimitReports() {
+		i := slices.IndexFunc(h.limits, func(l *sqrpc.EndpointLimit) bool { return l.GetEndpoint() == r.GetEndpoint() })
+		switch {
+		case r.GetNamed() && i < 0:
+			h.limits = append(h.limits, &sqrpc.EndpointLimit{Endpoint: r.GetEndpoint(), PerSecond: r.GetPerSecond(), AgeMillis: r.GetAgeMillis()})
+		case !r.GetNamed() && i >= 0:
+			h.limits = slices.Delete(h.limits, i, i+1)
+		}
+	}
+	res := &sqrpc.BeatResponse{
+		FreshMillis: uint32(h.freshFor.Milliseconds()), TableVersion: h.version,
+		FleetRevision: h.revision, GatewayCount: 1, TrueUnixNano: time.Now().UnixNano(), Holder: "holder",
+		Suspects: h.suspects, Quarantines: h.quarantines, Term: 1,
+		Gateways: []*sqrpc.GatewayAddress{{Address: req.GetAddress(), Zone: req.GetZone()}},
+	}
+	for _, l := range h.limits {
+		res.Limits = append(res.Limits, proto.CloneOf(l))
+		l.Permits = 0
+	}
+	for i := range h.fleet {
+		res.Endpoints = append(res.Endpoints, sqrpc.FromEndpoint(time.Now(), &h.fleet[i]))
+	}
+	return res, nil
+}
+
+// Table implements sqrpc.Coordinator.
+func (h *fakeLeaseHolder) Table(_ context.Context, req *sqrpc.TableRequest) (*sqrpc.TablePiece, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.withholdTable {
+		return nil, sqrpc.ToTwirp(sqerror.New(sqerror.Config{Kind: sqerror.NotHolder}))
+	}
+	h.tables.Put(h.version, h.table)
+	p, ok := h.tables.Piece(req.GetVersion(), int(req.GetOffset()), int(req.GetMaxBytes()))
+	if !ok {
+		return nil, sqrpc.ToTwirp(sqerror.New(sqerror.Config{Kind: sqerror.NotHolder}))
+	}
+	return &sqrpc.TablePiece{Version: p.Version, Offset: uint64(p.Offset), TotalBytes: uint64(p.Total), Data: p.Data}, nil
+}
+
+// update calls f, which may read and write the fields, with the lock held.
+func (h *fakeLeaseHolder) update(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+// newFakeLeaseHolder returns a holder of the tests' routing table and the fleet.
+func newFakeLeaseHolder(fleet ...sqplace.Endpoint) *fakeLeaseHolder {
+	return &fakeLeaseHolder{freshFor: 4 * time.Second, table: testTable(3), version: 3, revision: 1, fleet: fleet}
+}
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -130,7 +130,7 @@
 	// unsentCacheUpdates holds the cache updates of this gateway that no lease holder
 	// has acknowledged. lastSeenCacheUpdate is the number of the last update that
 	// was received from other gateways.
-	unsentCacheUpdates  []*sqrpc.PromptRead
+	unsentCacheUpdates  []*sqrpc.CacheUpdate
 	lastSeenCacheUpdate uint64
 }
 
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -128,14 +128,14 @@
 		req.Counts = append(req.Counts, &sqrpc.WindowCounts{Window: count.Window, Team: count.Team, Requests: count.Requests})
 	}
 	for id, load := range g.placer.OwnLoads() {
-		req.Loads = append(req.Loads, &sqrpc.InFlight{Id: id, Running: uint32(load.Running), UnreadTokens: uint64(load.PrefillTokens)})
+		req.Loads = append(req.Loads, &sqrpc.InFlight{Id: id, Running: uint32(load.Running), UncachedTokens: uint64(load.PrefillTokens)})
 	}
 	for _, update := range g.placer.TakeCacheUpdates() {
-		g.unsentCacheUpdates = append(g.unsentCacheUpdates, &sqrpc.PromptRead{Endpoint: update.Endpoint,
-			Beginning: update.PrefixHash, Tokens: uint32(update.Tokens), Own: uint32(update.SuffixTokens)})
+		g.unsentCacheUpdates = append(g.unsentCacheUpdates, &sqrpc.CacheUpdate{Endpoint: update.Endpoint,
+			PrefixHash: update.PrefixHash, Tokens: uint32(update.Tokens), SuffixTokens: uint32(update.SuffixTokens)})
 	}
 	g.unsentCacheUpdates = g.unsentCacheUpdates[max(0, len(g.unsentCacheUpdates)-maxUnsentCacheUpdates):]
-	req.Reads, req.ReadsSeen = g.unsentCacheUpdates, g.lastSeenCacheUpdate
+	req.CacheUpdates, req.LastCacheUpdate = g.unsentCacheUpdates, g.lastSeenCacheUpdate
 	req.LeavingEndpoints = g.placer.UnlistedDepartures()
 	reports := g.addLimits(now, req)
 	g.addEvidence(now, v, req)
@@ -148,21 +148,21 @@
 // applyCacheUpdates applies the cache updates of other gateways, and drops this
 // gateway's own updates, which the lease holder has acknowledged.
 func (g *gateway) applyCacheUpdates(res *sqrpc.BeatResponse) {
-	updates := make([]sqplace.CacheUpdate, 0, len(res.GetReads()))
-	for _, r := range res.GetReads() {
-		updates = append(updates, sqplace.CacheUpdate{Endpoint: r.GetEndpoint(), PrefixHash: r.GetBeginning(),
-			Tokens: int(r.GetTokens()), SuffixTokens: int(r.GetOwn())})
+	updates := make([]sqplace.CacheUpdate, 0, len(res.GetCacheUpdates()))
+	for _, r := range res.GetCacheUpdates() {
+		updates = append(updates, sqplace.CacheUpdate{Endpoint: r.GetEndpoint(), PrefixHash: r.GetPrefixHash(),
+			Tokens: int(r.GetTokens()), SuffixTokens: int(r.GetSuffixTokens())})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.placer.ApplyCacheUpdates(sqclock.Now(), updates)
-	g.unsentCacheUpdates, g.lastSeenCacheUpdate = nil, res.GetReadsSeen()
+	g.unsentCacheUpdates, g.lastSeenCacheUpdate = nil, res.GetLastCacheUpdate()
 }
 
 func loadsByEndpoint(inFlight []*sqrpc.InFlight) map[string]sqplace.Load {
 	loads := make(map[string]sqplace.Load, len(inFlight))
 	for _, load := range inFlight {
-		loads[load.GetId()] = sqplace.Load{Running: int(load.GetRunning()), PrefillTokens: int(load.GetUnreadTokens())}
+		loads[load.GetId()] = sqplace.Load{Running: int(load.GetRunning()), PrefillTokens: int(load.GetUncachedTokens())}
 	}
 	return loads
 }
