Endpoints are ordered in place of limited ones if the busiest second needs them

Now orders count limited endpoints among those that run, and the number rises by as many as the busiest second needs more than take requests without a limit, at most by the limited ones. It falls when limits end.

--- a/app/sqcoordinator/limits.go
+++ b/app/sqcoordinator/limits.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"sequoiadock/core/sqevent"
-	"sequoiadock/core/sqplace"
 	"sequoiadock/io/sqrpc"
 )
 
@@ -38,16 +37,13 @@
 	}
 }
 
-// endpointsForPlanning returns the endpoints as orders are planned by them: an endpoint
-// that names a limit is in need and counts as draining, so that others replace it.
-func (t *termState) endpointsForPlanning() []sqplace.Endpoint {
-	list := t.endpointsForGateways()
-	for i := range list {
-		if t.limits.Limited(list[i].ID()) {
-			list[i] = list[i].WithDraining()
-		}
+// limitedEndpoints returns the IDs of the endpoints that name a limit.
+func (t *termState) limitedEndpoints() map[string]bool {
+	limited := map[string]bool{}
+	for _, l := range t.limits.Limits() {
+		limited[l.Endpoint] = true
 	}
-	return list
+	return limited
 }
 
 // mayCallEngine reports whether the lease holder itself may call an engine now. The call
--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -179,11 +179,11 @@
 }
 
 func serviceView(s *sqtable.Service, t *termState) *sqcapacity.Service {
-	v := &sqcapacity.Service{Name: s.Name(), Scaling: s.Scaling(), Engine: s.Engine()}
+	v := &sqcapacity.Service{Name: s.Name(), Scaling: s.Scaling(), Engine: s.Engine(), Limited: t.limitedEndpoints()}
 	if d := t.orders.demand[s.Name()]; d != nil {
 		v.Demand = *d
 	}
-	for _, e := range t.endpointsForPlanning() {
+	for _, e := range t.endpointsForGateways() {
 		if e.Service() == s.Name() {
 			v.Endpoints = append(v.Endpoints, e)
 		}
--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -50,7 +50,8 @@
 		return nil
 	}
 	zones := pricedZones(svc)
-	targetPerZone := min((s.target+len(zones)-1)/len(zones), svc.Scaling.MaxPerZone)
+	target := s.target + s.replacements(svc)
+	targetPerZone := min((target+len(zones)-1)/len(zones), svc.Scaling.MaxPerZone)
 	shortage := s.shortagePerZone(svc, len(zones))
 	var orders []Order
 	for _, zone := range zones {
@@ -75,17 +76,43 @@
 	}
 	s.target = max(s.target, s.initialEndpoints*initialTargetPercent/100)
 	if hasDemand && svc.Engine != nil {
-		needed := prefillEnginesNeeded(peak) + decodeEnginesNeeded(peak, svc.Engine.Slots)
-		s.target = max(s.target, min(needed, s.initialEndpoints*maxTargetPercent/100))
+		s.target = max(s.target, min(enginesNeeded(peak, svc), s.initialEndpoints*maxTargetPercent/100))
 	}
 }
 
+// replacements returns how many endpoints run in place of limited ones, beyond the target:
+// as many as the busiest second needs more than take requests without a limit. Unlike the
+// target, the number falls when limits end.
+func (s *serviceState) replacements(svc *Service) int {
+	peak, hasDemand := s.demand.peak()
+	if len(svc.Limited) == 0 || !hasDemand || svc.Engine == nil {
+		return 0
+	}
+	limited, unlimited := 0, 0
+	for i := range svc.Endpoints {
+		e := &svc.Endpoints[i]
+		switch {
+		case e.Draining():
+		case svc.Limited[e.ID()]:
+			limited++
+		default:
+			unlimited++
+		}
+	}
+	return min(max(0, enginesNeeded(peak, svc)-unlimited), limited)
+}
+
+// enginesNeeded returns how many engines both stages need.
+func enginesNeeded(peak demandRate, svc *Service) int {
+	return prefillEnginesNeeded(peak) + decodeEnginesNeeded(peak, svc.Engine.Slots)
+}
+
 // shortagePerZone returns how many endpoints each zone has to add, on demand if need
 // be, to reach minRunningPercent of the target.
 func (s *serviceState) shortagePerZone(svc *Service, zones int) int {
 	running := 0
 	for i := range svc.Endpoints {
-		if !svc.Endpoints[i].Draining() {
+		if e := &svc.Endpoints[i]; !e.Draining() && !svc.Limited[e.ID()] {
 			running++
 		}
 	}
--- a/core/sqcapacity/sqcapacity.go
+++ b/core/sqcapacity/sqcapacity.go
@@ -27,7 +27,9 @@
 	Scaling   *sqtable.Scaling
 	Engine    *sqtable.Engine
 	Endpoints []sqplace.Endpoint
-	Demand    Demand
+	// Limited holds the IDs of the endpoints that take fewer requests than they usually do.
+	Limited map[string]bool
+	Demand  Demand
 	// InitialEndpoints is the number of endpoints before any were ordered, as recorded by an
 	// earlier lease holder; 0 if none recorded it.
 	InitialEndpoints int
--- a/core/sqcapacity/stages.go
+++ b/core/sqcapacity/stages.go
@@ -41,7 +41,7 @@
 		switch {
 		case now.Sub(s.stageChangedAt[e.ID()]) < svc.Engine.StageSwitchTime+time.Second:
 			changing++
-		case e.Draining():
+		case e.Draining() || svc.Limited[e.ID()]:
 		case e.Stage() == sqplace.Prefill:
 			prefillEngines = append(prefillEngines, e)
 		case e.Stage() == sqplace.Decode:
