--- a/core/sqtable/sqtable.go
+++ b/core/sqtable/sqtable.go
@@ -23,7 +23,7 @@
 }
 
 // place is the host and path prefix of a route. No two routes share one.
-type place struct{ host, pathPrefix string }
+type place struct{ host, prefix string }
 
 // New validates a declaration and returns its table. The error is of kind
 // BadRequest and describes the first problem found.
@@ -92,7 +92,7 @@
 	if total == 0 {
 		return invalid("the weights of route " + c.Name + " add up to 0")
 	}
-	p := place{host: c.Host, pathPrefix: c.PathPrefix}
+	p := place{host: c.Host, prefix: c.PathPrefix}
 	if other := t.routes[p]; other != nil {
 		return invalid("routes " + other.cfg.Name + " and " + c.Name + " share host and prefix")
 	}
@@ -142,7 +142,7 @@
 	p := place{host: hostName(host)}
 	path = path[:min(len(path), t.longestPrefix)]
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		p.pathPrefix = path[:end+1]
+		p.prefix = path[:end+1]
 		if r := t.routes[p]; r != nil {
 			return r
 		}
