--- a/app/sqcoordinator/bench_test.go
+++ b/app/sqcoordinator/bench_test.go
@@ -89,8 +89,8 @@
 func BenchmarkTable(b *testing.B) {
 	var routes strings.Builder
 	for i := range 2800 {
-		fmt.Fprintf(&routes, `{"name":"r-%07x","host":"h.example","prefix":"/%08x/","kind":"idempotent","timeoutMs":2000,`+
-			`"targetLatencyMs":500,"priority":1,"service":"ledger","maxAttempts":2,"public":false,"sticky":false,"resumable":false},`,
+		fmt.Fprintf(&routes, `{"name":"r-%07x","host":"h.example","prefix":"/%08x/","kind":"repeatable","timeout":2000,`+
+			`"latencyObjective":500,"rank":1,"service":"ledger","sends":2,"open":false,"followsSession":false,"resumes":false},`,
 			i*40503&0xfffffff, uint32(i*2654435761))
 	}
 	document := []byte(routes.String())
