--- a/core/sqstock/sqstock_test.go
+++ b/core/sqstock/sqstock_test.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,7 +12,6 @@
 	"pgregory.net/rapid"
 
 	"sequoiadock/core/sqcommand"
-	"sequoiadock/core/sqroute"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -22,87 +20,6 @@
 	return &sqcommand.Fleet{Zones: zones, MinEngines: 1, MaxEngines: 100, DearPrice: 1000, CheapPrice: 300, ArrivalSeconds: 60, OrdersEnabled: true}
 }
 
-// fakePlatform executes orders: an added endpoint is ready after a minute, and
-// orders for capacity pools in outOfStock are refused.
-type fakePlatform struct {
-	fleet      *sqcommand.Fleet
-	weights    *sqcommand.Weights
-	endpoints  []EndpointConfig
-	readyAt    map[string]time.Time
-	outOfStock map[pool]bool
-	added      int
-	removed    int
-}
-
-func newFakePlatform(fleet *sqcommand.Fleet) *fakePlatform {
-	return &fakePlatform{fleet: fleet, readyAt: make(map[string]time.Time), outOfStock: make(map[pool]bool)}
-}
-
-type planner interface {
-	RecordOutOfStock(now time.Time, zone string, cheap bool)
-	Plan(now time.Time, view View) Plan
-}
-
-// step makes one plan and executes its orders.
-func (p *fakePlatform) step(now time.Time, b planner, needed, onDemand float64) Plan {
-	cfg := ViewConfig{Fleet: p.fleet, Weights: p.weights, RequiredEngines: needed, RequiredOnDemand: onDemand}
-	for _, e := range p.endpoints {
-		if readyAt := p.readyAt[e.ID]; readyAt.After(now) {
-			cfg.Pending = append(cfg.Pending, NewPendingEndpoint(PendingEndpointConfig{Zone: e.Zone, Spot: e.Spot}))
-			continue
-		}
-		cfg.Endpoints = append(cfg.Endpoints, NewEndpoint(e))
-	}
-	plan := b.Plan(now, NewView(cfg))
-	for _, o := range plan.Orders() {
-		p.execute(now, b, o)
-	}
-	return plan
-}
-
-func (p *fakePlatform) execute(now time.Time, b planner, o Order) {
-	if o.Action() == Release {
-		p.removed++
-		for i := range p.endpoints {
-			if p.endpoints[i].ID == o.VM() {
-				p.endpoints = append(p.endpoints[:i], p.endpoints[i+1:]...)
-				return
-			}
-		}
-	}
-	if p.outOfStock[pool{zone: o.Zone(), spot: o.Spot()}] {
-		b.RecordOutOfStock(now, o.Zone(), o.Spot())
-		return
-	}
-	p.added++
-	id := "vm" + strconv.Itoa(p.added)
-	p.endpoints = append(p.endpoints, EndpointConfig{ID: id, Zone: o.Zone(), Spot: o.Spot()})
-	p.readyAt[id] = now.Add(time.Minute)
-}
-
-// run makes a plan every 5 seconds.
-func (p *fakePlatform) run(from time.Time, steps int, b planner, needed func(i int) float64, onDemandShare float64) {
-	for i := range steps {
-		n := needed(i)
-		p.step(from.Add(time.Duration(i)*5*time.Second), b, n, n*onDemandShare)
-	}
-}
-
-// counts returns the number of on-demand endpoints, and of spot ones by zone.
-func (p *fakePlatform) counts() (onDemand int, cheap map[string]int) {
-	cheap = make(map[string]int)
-	for _, e := range p.endpoints {
-		if e.Spot {
-			cheap[e.Zone]++
-		} else {
-			onDemand++
-		}
-	}
-	return onDemand, cheap
-}
-
-func steady(n float64) func(int) float64 { return func(int) float64 { return n } }
-
 // The fleet has enough on-demand endpoints for the work that must not run on
 // spot ones, and enough capacity for the work that must be on time after the
 // loss of all spot endpoints of any one zone.
@@ -234,77 +151,6 @@
 	})
 }
 
-func TestReleasesSpareEndpointsAfterDelay(t *testing.T) {
-	p := newFakePlatform(fleetOf("a", "b", "c"))
-	b := NewPlanner(Config{})
-	p.run(start, 100, b, steady(20), 0.2)
-	before := len(p.endpoints)
-	p.run(start.Add(500*time.Second), 20, b, steady(5), 0.2)
-	assert.Equal(t, len(p.endpoints), before)
-	p.run(start.Add(600*time.Second), 200, b, steady(5), 0.2)
-	assert.Assert(t, len(p.endpoints) <= 9, "%d left", len(p.endpoints))
-}
-
-// A higher weight of cost shortens the release delay, but not below one arrival
-// delay, in which a released endpoint could be replaced.
-func TestCostWeightShortensReleaseDelay(t *testing.T) {
-	firstReleaseAfter := func(w *sqcommand.Weights) time.Duration {
-		p := newFakePlatform(fleetOf("a", "b", "c"))
-		p.weights = w
-		b := NewPlanner(Config{})
-		p.run(start, 100, b, steady(20), 0.2)
-		for i := range 200 {
-			p.step(start.Add(500*time.Second+time.Duration(i)*5*time.Second), b, 5, 1)
-			if p.removed > 0 {
-				return time.Duration(i) * 5 * time.Second
-			}
-		}
-		return time.Hour
-	}
-	serviceDelay := firstReleaseAfter(&sqcommand.Weights{Goodput: 4, WorstTeam: 4, Cost: 1})
-	costDelay := firstReleaseAfter(&sqcommand.Weights{Goodput: 1, WorstTeam: 1, Cost: 4})
-	t.Logf("first release after %v with weight on service, %v with weight on cost", serviceDelay, costDelay)
-	assert.Assert(t, costDelay >= time.Minute && costDelay < serviceDelay*2/3, "%v and %v", costDelay, serviceDelay)
-}
-
-func TestKeepsLastEndpointOfRole(t *testing.T) {
-	b := NewPlanner(Config{})
-	fleet := fleetOf("a")
-	var endpoints []Endpoint
-	for i, role := range []sqroute.Role{sqroute.RolePrefill, sqroute.RoleDecode, sqroute.RoleDecode} {
-		endpoints = append(endpoints, NewEndpoint(EndpointConfig{ID: "e" + strconv.Itoa(i), Zone: "a", Model: "m", Role: role}))
-	}
-	for i := range 200 {
-		plan := b.Plan(start.Add(time.Duration(i)*time.Second), NewView(ViewConfig{Fleet: fleet, Endpoints: endpoints}))
-		for _, o := range plan.Orders() {
-			assert.Assert(t, o.VM() != "e0", "the only prefill endpoint was released")
-		}
-	}
-}
-
-func TestCostWeightLowersFleetPrice(t *testing.T) {
-	fleetPrice := func(w *sqcommand.Weights) float64 {
-		p := newFakePlatform(fleetOf("a", "b"))
-		p.weights = w
-		p.run(start, 100, NewPlanner(Config{}), steady(20), 0.1)
-		onDemand, cheap := p.counts()
-		return 1000*float64(onDemand) + 300*float64(cheap["a"]+cheap["b"])
-	}
-	assert.Assert(t, fleetPrice(&sqcommand.Weights{Cost: 1}) < fleetPrice(&sqcommand.Weights{Goodput: 1}))
-}
-
-func TestSpendsLessThanAllOnDemand(t *testing.T) {
-	fleetPrice := func(b planner) float64 {
-		p := newFakePlatform(fleetOf("a", "b", "c"))
-		p.run(start, 100, b, steady(20), 0.2)
-		onDemand, cheap := p.counts()
-		return 1000*float64(onDemand) + 300*float64(cheap["a"]+cheap["b"]+cheap["c"])
-	}
-	balanced, allOnDemand := fleetPrice(NewPlanner(Config{})), fleetPrice(NewAllOnDemand())
-	t.Logf("price: balanced %v, all on-demand %v", balanced, allOnDemand)
-	assert.Assert(t, balanced <= 0.7*allOnDemand, "%v and %v", balanced, allOnDemand)
-}
-
 func TestBaselinesFollowCurrentDemand(t *testing.T) {
 	for name, b := range map[string]planner{"all on-demand": NewAllOnDemand(), "greedy cheap": NewGreedySpot()} {
 		t.Run(name, func(t *testing.T) {
@@ -356,24 +202,3 @@
 	}
 	golden.Assert(t, strings.Join(lines, "\n")+"\n", "explain.golden")
 }
-
-func BenchmarkPlan(b *testing.B) {
-	for _, workers := range []int{8, 20, 100, 340, 1100} {
-		b.Run("workers="+strconv.Itoa(workers), func(b *testing.B) {
-			fleet := fleetOf("a", "b", "c")
-			fleet.MaxEngines = 2000
-			var endpoints []Endpoint
-			for i := range workers {
-				endpoints = append(endpoints, NewEndpoint(EndpointConfig{ID: strconv.Itoa(i), Zone: fleet.Zones[i%3], Spot: i%2 == 0}))
-			}
-			view := NewView(ViewConfig{Fleet: fleet, Endpoints: endpoints, RequiredEngines: float64(workers) * 0.9, RequiredOnDemand: float64(workers) / 3})
-			balanced := NewPlanner(Config{})
-			now := start
-			b.ReportAllocs()
-			for b.Loop() {
-				now = now.Add(time.Second)
-				balanced.Plan(now, view)
-			}
-		})
-	}
-}
