--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -46,6 +46,8 @@
 	// none.
 	priority int
 	body     []byte
+	// content is the hash of what all attempts at the request have in common.
+	content  string
 	deadline time.Time
 	// ctx ends at the deadline or when the caller disconnects.
 	ctx context.Context
@@ -116,7 +118,21 @@
 	x.service = x.route.PickService(rand.Float64())
 	x.urgent = x.table.MostUrgent(x.route, x.service)
 	x.setDeadline()
-	return x.readRequestBody()
+	if !x.readRequestBody() {
+		return false
+	}
+	x.setContent()
+	return true
+}
+
+// setContent sets the hash of what all attempts at the request have in common.
+func (x *request) setContent() {
+	caller := x.team
+	if caller == "" {
+		caller = x.attempt.Key
+	}
+	c := sqattempt.Content{Caller: caller, Method: x.r.Method, Host: x.r.Host, Target: x.target(), Prompt: &x.attempt.Prompt, Body: x.body}
+	x.content = c.Hash()
 }
 
 // headerBytes returns the total length of the header names and values.
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -223,7 +223,7 @@
 		step = sqattempt.GiveUp
 	}
 	x.g.log.Event(sqevent.SendFailed, x.attempt.ID, e.ID(), res.outcome.String(), step.String(),
-		now.Sub(sentAt).Milliseconds(), res.reason, !x.sendFirstEventAt.IsZero(), x.attempt.Prompt.SharedParts())
+		now.Sub(sentAt).Milliseconds(), res.reason, !x.sendFirstEventAt.IsZero(), x.attempt.Prompt.SharedParts(), x.content)
 	if step == sqattempt.Resend {
 		x.g.metrics.resends.Inc()
 		return false
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -11,7 +11,7 @@
 	RequestDone          = Event{6006, Info, "request answered", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "firstMillis", "totalMillis", "expectedMillis", "version", "framing"}}
 	RequestRefused       = Event{6007, Info, "request refused, not run", []string{"request", "route", "team", "status", "reason", "retryAfterMillis", "ageMillis", "version"}}
 	RequestFailed        = Event{6008, Warn, "request failed", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "reason", "totalMillis", "version"}}
-	SendFailed           = Event{6009, Info, "send to an endpoint failed", []string{"request", "endpoint", "outcome", "next", "afterMillis", "reason", "events", "parts"}}
+	SendFailed           = Event{6009, Info, "send to an endpoint failed", []string{"request", "endpoint", "outcome", "next", "afterMillis", "reason", "events", "parts", "content"}}
 	CallerDisconnected   = Event{6010, Info, "caller disconnected before the response", []string{"request", "route", "endpoint", "totalMillis"}}
 	GatewayStopping      = Event{6011, Info, "gateway leaves the directory", []string{"keepMillis"}}
 	GatewayGraceExpired  = Event{6012, Warn, "stop grace period ended with requests still running", []string{"running"}}
