--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,7 @@
 	SEQUOIADOCK_TOGETHER=10m go test -count=1 -timeout 20m ./proof/together
 	for seed in 1 2 3 4 5; do SEQUOIADOCK_SOAK=60s SEQUOIADOCK_SOAK_SEED=$$seed go test -count=1 -run Soak ./platform || exit 1; done
 
-# Generators: protoc, protoc-gen-go v1.36.10, protoc-gen-twirp v8.1.3. Their
+# Generators: protoc, protoc-gen-go v1.36.10, protoc-gen-twirp v8.1.3+incompatible. Their
 # output is committed, so the build needs none of them.
 .PHONY: generate
 generate:
--- a/app/sqcoordinator/quarantine.go
+++ b/app/sqcoordinator/quarantine.go
@@ -20,21 +20,16 @@
 		t.quarantine.RecordCrash(now, sqrpc.ToCrash(now, r))
 	}
 	for _, a := range req.GetAnswers() {
-		t.quarantine.RecordAnswer(sqrpc.ToPart(a.GetPart()), now.Add(-time.Duration(a.GetAgeMillis())*time.Millisecond))
+		t.quarantine.RecordAnswer(sqrpc.ToTrait(a.GetTrait()), now.Add(-time.Duration(a.GetAgeMillis())*time.Millisecond))
 	}
-	wall := sqclock.Wall()
-	var entries []sqquarantine.Entry
-	for _, p := range c.quarantinedParts() {
-		part := sqquarantine.Part{Service: p.GetService(), ID: p.GetId()}
-		left := termLeft(wall, p)
-		entries = append(entries, sqquarantine.Entry{Part: part, Active: left > 0})
-		if left > 0 {
-			res.Quarantines = append(res.Quarantines, &sqrpc.Quarantine{Part: sqrpc.FromPart(part), LeftMillis: uint32(left.Milliseconds())})
-		}
+	entries := c.quarantineEntries(now, sqclock.Wall())
+	for _, e := range entries {
+		left := max(0, e.EndedAt.Sub(now).Milliseconds())
+		res.Quarantines = append(res.Quarantines, &sqrpc.Quarantine{Trait: sqrpc.FromTrait(e.Trait), LeftMillis: uint32(left)})
 	}
 	d := t.quarantine.Decide(now, entries, len(t.gateways.byName))
 	for _, p := range t.quarantine.Suspects(now, entries) {
-		res.Suspects = append(res.Suspects, sqrpc.FromPart(p))
+		res.Suspects = append(res.Suspects, sqrpc.FromTrait(p))
 	}
 	if len(d.Quarantine)+len(d.Release) == 0 {
 		return
@@ -46,17 +41,32 @@
 	}
 }
 
-// quarantinedParts returns the committed parts, also those whose term has ended.
-func (c *coordinator) quarantinedParts() (parts []*sqcommand.QuarantinedPart) {
-	c.stateMachine.Read(func(s *sqstate.State) { parts = s.QuarantinedParts() })
-	return parts
+// quarantinedTraits returns the committed traits, also those whose term has ended.
+func (c *coordinator) quarantinedTraits() (traits []*sqcommand.QuarantinedTrait) {
+	c.stateMachine.Read(func(s *sqstate.State) { traits = s.QuarantinedTraits() })
+	return traits
+}
+
+// quarantineEntries returns the committed traits with the ends of their terms on the clock
+// of now; wall is the same moment on the wall clock.
+func (c *coordinator) quarantineEntries(now, wall time.Time) []sqquarantine.Entry {
+	var entries []sqquarantine.Entry
+	for _, q := range c.quarantinedTraits() {
+		left := termLeft(wall, q)
+		entries = append(entries, sqquarantine.Entry{Trait: committedTrait(q), Active: left > 0, EndedAt: now.Add(left)})
+	}
+	return entries
+}
+
+func committedTrait(q *sqcommand.QuarantinedTrait) sqquarantine.Trait {
+	return sqquarantine.Trait{Kind: sqquarantine.Kind(q.GetKind()), Service: q.GetService(), ID: q.GetId()}
 }
 
-// activeQuarantines returns how many parts are quarantined.
+// activeQuarantines returns how many traits are quarantined.
 func (c *coordinator) activeQuarantines(wall time.Time) int {
 	n := 0
-	for _, p := range c.quarantinedParts() {
-		if termLeft(wall, p) > 0 {
+	for _, q := range c.quarantinedTraits() {
+		if termLeft(wall, q) > 0 {
 			n++
 		}
 	}
@@ -64,8 +74,8 @@
 }
 
 // termLeft returns the time until the quarantine ends; it is not positive afterwards.
-func termLeft(wall time.Time, p *sqcommand.QuarantinedPart) time.Duration {
-	return time.Unix(0, p.GetUntilUnixNano()).Sub(wall)
+func termLeft(wall time.Time, q *sqcommand.QuarantinedTrait) time.Duration {
+	return time.Unix(0, q.GetUntilUnixNano()).Sub(wall)
 }
 
 // commitQuarantines commits the decisions on quarantines until ctx ends, so that they
@@ -86,36 +96,36 @@
 	}
 }
 
-func (c *coordinator) commitQuarantine(ctx context.Context, part sqquarantine.Part) {
+func (c *coordinator) commitQuarantine(ctx context.Context, trait sqquarantine.Trait) {
 	wall := sqclock.Wall()
-	old := c.quarantinedPart(part)
+	old := c.quarantinedTrait(trait)
 	if old != nil && termLeft(wall, old) > 0 {
 		return
 	}
-	term := sqquarantine.Term(int(old.GetTimes()))
-	p := &sqcommand.QuarantinedPart{
-		Service: part.Service, Id: part.ID, Times: old.GetTimes() + 1, UntilUnixNano: wall.Add(term).UnixNano(),
+	term := sqquarantine.Term(trait.Kind, int(old.GetTimes()))
+	q := &sqcommand.QuarantinedTrait{
+		Kind: uint32(trait.Kind), Service: trait.Service, Id: trait.ID, Times: old.GetTimes() + 1, UntilUnixNano: wall.Add(term).UnixNano(),
 	}
-	if c.proposeQuarantine(ctx, &sqcommand.SetQuarantine{Part: p}) {
-		c.log.Event(sqevent.PartQuarantined, part.Service, part.ID, p.GetTimes(), term.Milliseconds())
+	if c.proposeQuarantine(ctx, &sqcommand.SetQuarantine{Trait: q}) {
+		c.log.Event(sqevent.TraitQuarantined, trait.Kind.String(), trait.Service, trait.ID, q.GetTimes(), term.Milliseconds())
 	}
 }
 
-func (c *coordinator) commitRelease(ctx context.Context, part sqquarantine.Part) {
-	if c.quarantinedPart(part) == nil {
+func (c *coordinator) commitRelease(ctx context.Context, trait sqquarantine.Trait) {
+	if c.quarantinedTrait(trait) == nil {
 		return
 	}
-	p := &sqcommand.QuarantinedPart{Service: part.Service, Id: part.ID}
-	if c.proposeQuarantine(ctx, &sqcommand.SetQuarantine{Part: p, Remove: true}) {
-		c.log.Event(sqevent.PartReleased, part.Service, part.ID)
+	q := &sqcommand.QuarantinedTrait{Kind: uint32(trait.Kind), Service: trait.Service, Id: trait.ID}
+	if c.proposeQuarantine(ctx, &sqcommand.SetQuarantine{Trait: q, Remove: true}) {
+		c.log.Event(sqevent.TraitReleased, trait.Kind.String(), trait.Service, trait.ID)
 	}
 }
 
-// quarantinedPart returns the committed record of a part, or nil.
-func (c *coordinator) quarantinedPart(part sqquarantine.Part) *sqcommand.QuarantinedPart {
-	for _, p := range c.quarantinedParts() {
-		if p.GetService() == part.Service && p.GetId() == part.ID {
-			return p
+// quarantinedTrait returns the committed record of a trait, or nil.
+func (c *coordinator) quarantinedTrait(trait sqquarantine.Trait) *sqcommand.QuarantinedTrait {
+	for _, q := range c.quarantinedTraits() {
+		if committedTrait(q) == trait {
+			return q
 		}
 	}
 	return nil
--- a/app/sqcoordinator/quarantine_test.go
+++ b/app/sqcoordinator/quarantine_test.go
@@ -16,7 +16,7 @@
 func crashReport(i int) *sqrpc.CrashReport {
 	return &sqrpc.CrashReport{
 		Service: "engines", Endpoint: "e" + strconv.Itoa(i), AgeMillis: uint32(3000 - 500*i),
-		Requests: []*sqrpc.SharedParts{{Ids: []string{"ab", "bad"}}, {Ids: []string{"ab"}}},
+		Requests: []*sqrpc.RequestTraits{{Ids: []string{"ab", "bad"}}, {Ids: []string{"ab"}}},
 	}
 }
 
@@ -26,7 +26,7 @@
 	req := newBeatRequest(gateway, 0)
 	req.Crashes = crashes
 	for _, id := range []string{"ab", ""} {
-		req.Answers = append(req.Answers, &sqrpc.PartAnswer{Part: &sqrpc.PromptPart{Service: "engines", Id: id}})
+		req.Answers = append(req.Answers, &sqrpc.TraitAnswer{Trait: &sqrpc.Trait{Service: "engines", Id: id}})
 	}
 	res, err := g.nodes[g.holder()].Beat(context.Background(), req)
 	if err != nil {
@@ -37,7 +37,7 @@
 
 // quarantined reports whether the response quarantines just the part "bad".
 func quarantined(res *sqrpc.BeatResponse) bool {
-	return len(res.GetQuarantines()) == 1 && res.GetQuarantines()[0].GetPart().GetId() == "bad"
+	return len(res.GetQuarantines()) == 1 && res.GetQuarantines()[0].GetTrait().GetId() == "bad"
 }
 
 func TestCrashesSeenByDifferentGatewaysAreNotJoined(t *testing.T) {
@@ -59,7 +59,7 @@
 	g.waitFor("the quarantine", func() bool { return quarantined(g.beat("g1")) })
 	time.Sleep(20 * time.Millisecond)
 	req := newBeatRequest("g2", 0)
-	req.Answers = []*sqrpc.PartAnswer{{Part: &sqrpc.PromptPart{Service: "engines", Id: "bad"}}}
+	req.Answers = []*sqrpc.TraitAnswer{{Trait: &sqrpc.Trait{Service: "engines", Id: "bad"}}}
 	_, err := g.nodes[g.holder()].Beat(context.Background(), req)
 	assert.NilError(t, err)
 	g.waitFor("the release", func() bool {
--- a/app/sqgateway/body.go
+++ b/app/sqgateway/body.go
@@ -56,7 +56,7 @@
 		x.abort(reply.Status(), reason)
 	}
 	x.finishDispatch(dispatch, true, true)
-	x.recordPartsAnswered(sqclock.Now())
+	x.recordTraitsAnswered(sqclock.Now())
 	x.clearWriteDeadline()
 	x.recordAnswered(reply.Status(), reply.Framing())
 }
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -127,7 +127,7 @@
 	}
 	x.countForBilling()
 	x.finishDispatch(dispatch, true, true)
-	x.recordPartsAnswered(sqclock.Now())
+	x.recordTraitsAnswered(sqclock.Now())
 	x.sends++
 	x.writeResponse(response)
 	return sendResult{}, true
--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -30,7 +30,7 @@
 	fleet             []sqplace.Endpoint
 	lastRequest       *sqrpc.BeatRequest
 	heartbeats        int
-	suspects          []*sqrpc.PromptPart
+	suspects          []*sqrpc.Trait
 	quarantines       []*sqrpc.Quarantine
 	// crashes collects the reported crashes, limitReports what is reported of limits.
 	crashes      []*sqrpc.CrashReport
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -70,13 +70,18 @@
 	x.g.log.Event(sqevent.PrefillFailed, x.attempt.ID, choice.PrefillEndpoint.ID(), now.Sub(x.receivedAt).Milliseconds(),
 		err.Error())
 	x.noRemotePrefill = true
-	if x.ctx.Err() == nil && sqendpoint.ConnectionLost(err) {
+	mayHaveCrashed := x.ctx.Err() == nil && sqendpoint.ConnectionLost(err)
+	if mayHaveCrashed {
 		x.recordLostConnection(now, choice.PrefillEndpoint)
 	}
 	if x.ctx.Err() != nil {
 		x.finishUnanswered(sqattempt.GiveUp, "the deadline passed while the prompt was read", 0)
 		return true
 	}
+	if mayHaveCrashed && !x.mayResendAfterCrash() {
+		x.finishUnanswered(sqattempt.GiveUp, "the engine crashed while it read the prompt, as others did before", 0)
+		return true
+	}
 	if x.connectionFailure(err).outcome != sqattempt.Unsent && !x.takeRetry(now) {
 		x.finishUnanswered(x.stepWithoutEndpoint(now), "the prompt was not read and the retry budget is spent",
 			defaultRetryAfter)
--- a/app/sqgateway/quarantine.go
+++ b/app/sqgateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sequoiadock/core/sqevent"
@@ -24,42 +25,75 @@
 	crashCheckInterval = 50 * time.Millisecond
 )
 
-// quarantinedPart returns the first part of the request's prompt that is quarantined,
-// and the time until its quarantine ends, or "".
-func (x *request) quarantinedPart(now time.Time) (id string, left time.Duration) {
+// traits returns what the request may have in common with others.
+func (x *request) traits() []sqquarantine.Trait {
+	return sqquarantine.Traits(x.service, x.attempt.Prompt.SharedParts(), x.content)
+}
+
+// refuseQuarantined ends the request if one of its traits is quarantined, and reports
+// whether it did. After a quarantine, the lease holder allows requests with the trait one
+// at a time.
+func (x *request) refuseQuarantined(now time.Time) bool {
 	quarantines := x.g.view.Load().quarantines
 	if len(quarantines) == 0 {
-		return "", 0
+		return false
 	}
-	for _, id := range x.attempt.Prompt.SharedParts() {
-		if until, ok := quarantines[sqquarantine.Part{Service: x.service, ID: id}]; ok && now.Before(until) {
-			return id, until.Sub(now)
+	for _, t := range x.traits() {
+		until, ok := quarantines[t]
+		if !ok || slices.Contains(x.probed, t) {
+			continue
 		}
+		left := until.Sub(now)
+		if left <= 0 {
+			if left = x.probe(t); left <= 0 {
+				continue
+			}
+		}
+		x.g.metrics.quarantined.Inc()
+		x.finishUnanswered(x.stepWithoutEndpoint(now), quarantineReason(t), left)
+		return true
 	}
-	return "", 0
+	return false
 }
 
-// refuseQuarantined ends the request if a part of its prompt is quarantined, and reports
-// whether it did.
-func (x *request) refuseQuarantined(now time.Time) bool {
-	id, left := x.quarantinedPart(now)
-	if id == "" {
-		return false
+func quarantineReason(t sqquarantine.Trait) string {
+	if t.Kind == sqquarantine.WholeRequest {
+		return "the request is quarantined, since it crashes endpoints"
 	}
-	x.g.metrics.quarantined.Inc()
-	x.finishUnanswered(x.stepWithoutEndpoint(now), "the part "+id+" of the prompt is quarantined, since it crashes endpoints", left)
-	return true
+	return "the part " + t.ID + " of the prompt is quarantined, since it crashes endpoints"
 }
 
-// recordPartsAnswered records that a request with the parts of this one was answered in
-// full.
-func (x *request) recordPartsAnswered(now time.Time) {
-	if len(x.attempt.Prompt.Parts) == 0 {
-		return
+// probe asks the lease holder whether the request may be sent with a trait whose
+// quarantine has ended. It returns 0 if it may, and otherwise when to try again.
+func (x *request) probe(t sqquarantine.Trait) time.Duration {
+	address := x.g.locator.Holder()
+	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, x.g.coordinatorClient)
+	res, err := client.Probe(x.ctx, &sqrpc.ProbeRequest{Trait: sqrpc.FromTrait(t), Gateway: x.g.cfg.Name})
+	if err != nil {
+		x.g.log.Event(sqevent.ProbeAsked, x.attempt.ID, t.Kind.String(), t.Service, t.ID, false, err.Error())
+		return defaultRetryAfter
 	}
+	x.g.log.Event(sqevent.ProbeAsked, x.attempt.ID, t.Kind.String(), t.Service, t.ID, res.GetGranted(), "")
+	if !res.GetGranted() {
+		return max(defaultRetryAfter, time.Duration(res.GetRetryAfterMillis())*time.Millisecond)
+	}
+	x.probed = append(x.probed, t)
+	return 0
+}
+
+// mayResendAfterCrash reports whether the request may be sent on after an endpoint ended its
+// connection. It may not if endpoints are known to have crashed under it before.
+func (x *request) mayResendAfterCrash() bool {
+	identity := sqquarantine.Trait{Kind: sqquarantine.WholeRequest, ID: x.content}
+	return len(x.probed) == 0 && !slices.Contains(x.g.view.Load().suspects, identity)
+}
+
+// recordTraitsAnswered records that a request with the traits of this one was answered in
+// full.
+func (x *request) recordTraitsAnswered(now time.Time) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	x.g.evidence.RecordAnswer(now, x.service, x.attempt.Prompt.SharedParts())
+	x.g.evidence.RecordAnswer(now, x.service, x.traits())
 }
 
 // mayHaveCrashed reports whether the request can be the one under which its endpoint
@@ -71,12 +105,8 @@
 // recordLostConnection records that the endpoint ended the connection of the request, and
 // checks in the background whether the endpoint has crashed.
 func (x *request) recordLostConnection(now time.Time, e *sqplace.Endpoint) {
-	parts := x.attempt.Prompt.SharedParts()
-	if len(parts) == 0 {
-		return
-	}
 	x.g.mu.Lock()
-	mustCheck := x.g.evidence.RecordBroken(now, x.service, e.ID(), parts)
+	mustCheck := x.g.evidence.RecordBroken(now, x.service, e.ID(), x.traits())
 	x.g.mu.Unlock()
 	if mustCheck {
 		go x.g.checkCrash(e)
@@ -106,9 +136,9 @@
 	for _, c := range g.evidence.Unacknowledged(v.leaseHolder) {
 		req.Crashes = append(req.Crashes, sqrpc.FromCrash(now, c))
 	}
-	for _, p := range v.suspects {
-		if at := g.evidence.LastAnswer(p); !at.IsZero() {
-			req.Answers = append(req.Answers, &sqrpc.PartAnswer{Part: sqrpc.FromPart(p), AgeMillis: uint32(now.Sub(at).Milliseconds())})
+	for _, t := range v.suspects {
+		if at := g.evidence.LastAnswer(t); !at.IsZero() {
+			req.Answers = append(req.Answers, &sqrpc.TraitAnswer{Trait: sqrpc.FromTrait(t), AgeMillis: uint32(now.Sub(at).Milliseconds())})
 		}
 	}
 }
@@ -117,17 +147,17 @@
 func (g *gateway) applyQuarantines(receivedAt time.Time, v *view, res *sqrpc.BeatResponse) {
 	old := v.quarantines
 	v.suspects, v.quarantines = nil, nil
-	for _, p := range res.GetSuspects() {
-		v.suspects = append(v.suspects, sqrpc.ToPart(p))
+	for _, t := range res.GetSuspects() {
+		v.suspects = append(v.suspects, sqrpc.ToTrait(t))
 	}
 	for _, q := range res.GetQuarantines() {
 		if v.quarantines == nil {
-			v.quarantines = map[sqquarantine.Part]time.Time{}
+			v.quarantines = map[sqquarantine.Trait]time.Time{}
 		}
-		part := sqrpc.ToPart(q.GetPart())
-		v.quarantines[part] = receivedAt.Add(time.Duration(q.GetLeftMillis()) * time.Millisecond)
-		if _, ok := old[part]; !ok {
-			g.log.Event(sqevent.QuarantineInForce, part.Service, part.ID, q.GetLeftMillis())
+		t := sqrpc.ToTrait(q.GetTrait())
+		v.quarantines[t] = receivedAt.Add(time.Duration(q.GetLeftMillis()) * time.Millisecond)
+		if until, ok := old[t]; !ok || q.GetLeftMillis() > 0 && until.Before(receivedAt) {
+			g.log.Event(sqevent.QuarantineInForce, t.Kind.String(), t.Service, t.ID, q.GetLeftMillis())
 		}
 	}
 }
--- a/app/sqgateway/quarantine_test.go
+++ b/app/sqgateway/quarantine_test.go
@@ -23,7 +23,7 @@
 	e := newFakeEndpoint(t, engineHandler(0))
 	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
 	s.holder.update(func() {
-		s.holder.quarantines = []*sqrpc.Quarantine{{Part: &sqrpc.PromptPart{Service: "engines", Id: "bad"}, LeftMillis: 60_000}}
+		s.holder.quarantines = []*sqrpc.Quarantine{{Trait: &sqrpc.Trait{Service: "engines", Id: "bad"}, LeftMillis: 60_000}}
 	})
 	waitFor(t, func() bool { return len(s.gateway.view.Load().quarantines) == 1 })
 	res := s.callWithPart(t, "bad")
@@ -73,7 +73,7 @@
 func TestAnswerToSuspectIsNotReported(t *testing.T) {
 	e := newFakeEndpoint(t, engineHandler(0))
 	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
-	s.holder.update(func() { s.holder.suspects = []*sqrpc.PromptPart{{Service: "engines", Id: "sound"}} })
+	s.holder.update(func() { s.holder.suspects = []*sqrpc.Trait{{Service: "engines", Id: "sound"}} })
 	s.callWithPart(t, "sound")
 	waitFor(t, func() bool {
 		reported := false
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sequoiadock/core/sqattempt"
+	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqtable"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqmemory"
@@ -56,6 +57,8 @@
 	sends          int
 	// mayHaveRun is set once a send may have made an endpoint run the request.
 	mayHaveRun bool
+	// probed holds the traits with which the lease holder allowed the request to be sent.
+	probed []sqquarantine.Trait
 	// noRemotePrefill is set once a remote prefill has failed.
 	noRemotePrefill bool
 	// lastEndpoint and lastPrefillEndpoint are the IDs of the endpoints that the
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -207,12 +207,14 @@
 		x.sends++
 	}
 	x.triedEndpoints = append(x.triedEndpoints, e.ID())
-	if res.connectionLost && x.mayHaveCrashed(now) {
+	mayHaveCrashed := res.connectionLost && x.mayHaveCrashed(now)
+	if mayHaveCrashed {
 		x.recordLostConnection(now, e)
 	}
 	state := sqattempt.State{
 		Outcome: res.outcome, Retryable: x.route.Retryable(), MayHaveRun: x.mayHaveRun, Sends: x.sends,
-		MaxSends: x.route.MaxSends(), TimeLeft: x.timeLeft(now), HasBudget: true, HasAlternative: true,
+		MaxSends: x.route.MaxSends(), TimeLeft: x.timeLeft(now), HasBudget: true,
+		HasAlternative: !mayHaveCrashed || x.mayResendAfterCrash(),
 	}
 	step := sqattempt.Next(state)
 	if step == sqattempt.Resend && res.outcome != sqattempt.Unsent && !x.takeRetry(now) {
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -114,7 +114,7 @@
 		x.writeEvents(reply, framer, nil)
 	}
 	x.finishDispatch(dispatch, true, true)
-	x.recordPartsAnswered(sqclock.Now())
+	x.recordTraitsAnswered(sqclock.Now())
 	x.clearWriteDeadline()
 	x.sends++
 	x.recordAnswered(x.stream.status, reply.Framing())
--- a/app/sqgateway/view.go
+++ b/app/sqgateway/view.go
@@ -35,10 +35,11 @@
 	// clockOffset is the true time minus sqclock.Now.
 	clockOffset time.Duration
 	leaseHolder string
-	// suspects are the parts of prompts about whose answers the gateway reports, and
-	// quarantines those with which it sends no request, with the end of the term.
-	suspects    []sqquarantine.Part
-	quarantines map[sqquarantine.Part]time.Time
+	// suspects are the traits of requests about whose answers the gateway reports, and
+	// quarantines those with which it sends no request, with the end of the term. After
+	// that, requests are allowed one at a time.
+	suspects    []sqquarantine.Trait
+	quarantines map[sqquarantine.Trait]time.Time
 }
 
 // fresh reports whether the gateway may act on the view: there is a routing table
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -19,19 +19,20 @@
 	StageOrdered               = Event{5014, Info, "stage of an engine ordered", []string{"endpoint", "stage", "reason"}}
 	DiskReopening              = Event{5016, Error, "disk failed, will be reopened", []string{"error", "pauseMillis"}}
 	InitialEndpointsCommitted  = Event{5018, Info, "first fleet of a service committed", []string{"service", "endpoints"}}
-	PartQuarantined            = Event{5019, Warn, "part of prompts quarantined, endpoints crashed under it", []string{"service", "part", "times", "termMillis"}}
-	PartReleased               = Event{5020, Info, "part of prompts released, a request with it was answered", []string{"service", "part"}}
+	TraitQuarantined           = Event{5019, Warn, "trait of requests quarantined, endpoints crashed under it", []string{"kind", "service", "trait", "times", "termMillis"}}
+	TraitReleased              = Event{5020, Info, "trait of requests released, a request with it was answered", []string{"kind", "service", "trait"}}
 	ServiceLoad                = Event{5017, Info, "service load", []string{"service", "stage", "endpoints", "away", "running", "unreadTokens"}}
 	DepartureReported          = Event{5021, Info, "endpoint is about to stop, as a response of it said", []string{"endpoint", "reportedBy", "revision"}}
 	DepartureForgottenByHolder = Event{5022, Info, "endpoint that was reported to stop is no longer listed and is forgotten", []string{"endpoint"}}
 	LimitReported              = Event{5023, Info, "limit of an endpoint on the requests of all gateways changed, as a response of it said", []string{"endpoint", "reportedBy", "named", "perSecond"}}
 	LimitForgotten             = Event{5024, Info, "endpoint that named a limit is no longer listed and is forgotten", []string{"endpoint"}}
+	ProbeDecided               = Event{5025, Info, "gateway asked for one request with a trait whose quarantine has ended", []string{"kind", "service", "trait", "gateway", "granted", "waitMillis"}}
 	StageRefused               = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
 
 var coordinatorEvents = []Event{
 	BootstrapFailed, MemberChanged, MemberChangeFailed, TableCommitted, TableRefused, TableNotCommitted,
 	GatewayFound, GatewayLeaving, GatewayLost, EndpointListChanged, EndpointListFailed, EndpointListRecovered,
-	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, PartQuarantined, PartReleased,
-	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten,
+	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, TraitQuarantined, TraitReleased,
+	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten, ProbeDecided,
 }
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -19,7 +19,7 @@
 	WaitedForHolder      = Event{6014, Info, "request waited for the lease holder after the gateway started", []string{"request", "waitedMillis", "heard"}}
 	CallerNotReset       = Event{6015, Error, "connection of an aborted response could not be reset", []string{"request", "error"}}
 	EndpointCrashed      = Event{6016, Warn, "endpoint crashed with requests in flight", []string{"endpoint", "service"}}
-	QuarantineInForce    = Event{6017, Warn, "requests with a part of prompts are refused", []string{"service", "part", "leftMillis"}}
+	QuarantineInForce    = Event{6017, Warn, "requests with a trait are refused", []string{"kind", "service", "trait", "leftMillis"}}
 	EndpointLeaving      = Event{6018, Info, "endpoint reports that it is about to stop and gets no requests", []string{"endpoint", "service", "address"}}
 	DepartureForgotten   = Event{6019, Info, "endpoint that reported its stop is no longer listed and is forgotten", []string{"endpoint"}}
 	EndpointRefuses      = Event{6020, Info, "endpoint refuses requests with 503 and gets none until its Retry-After has passed", []string{"endpoint", "service", "retryAfterMillis"}}
@@ -30,6 +30,7 @@
 	EndpointLimited      = Event{6025, Info, "endpoint limits the requests of all gateways and gets them with permits only", []string{"endpoint", "perSecond", "from"}}
 	EndpointLimitEnded   = Event{6026, Info, "endpoint has ended its limit", []string{"endpoint", "from"}}
 	LimitUnreadable      = Event{6027, Warn, "limit that an endpoint names cannot be read and is ignored", []string{"endpoint", "value"}}
+	ProbeAsked           = Event{6029, Info, "asked for one request with a trait whose quarantine has ended", []string{"request", "kind", "service", "trait", "granted", "error"}}
 	ResponseMemoryShort  = Event{6028, Warn, "no memory for a long event of a response", []string{"request", "endpoint", "usedBytes"}}
 )
 
@@ -38,5 +39,5 @@
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
 	EndpointLeaving, DepartureForgotten, EndpointRefuses, EndpointRefusalEnded, RetryAfterUnreadable,
-	TablePieceFailed, TableOutdated, EndpointLimited, EndpointLimitEnded, LimitUnreadable, ResponseMemoryShort,
+	TablePieceFailed, TableOutdated, EndpointLimited, EndpointLimitEnded, LimitUnreadable, ResponseMemoryShort, ProbeAsked,
 }
--- a/core/sqquarantine/evidence.go
+++ b/core/sqquarantine/evidence.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// answerMemory is how long Evidence knows at least when a part was last answered.
+	// answerMemory is how long Evidence knows when a trait was last answered, unless more
+	// than maxAnswers traits are answered in that time.
 	answerMemory = 3 * time.Second
+	maxAnswers   = 1 << 14
 	// maxReports is how many crashes Evidence keeps, and maxRequestsPerCrash how many
 	// requests of one.
 	maxReports          = 32
@@ -13,9 +15,9 @@
 
 // Evidence is what one gateway has seen. It is not safe for concurrent use.
 type Evidence struct {
-	// recent and older hold the time of each part's last answer. Each answerMemory,
-	// recent becomes older.
-	recent, older map[Part]time.Time
+	// recent and older hold the time of each trait's last answer. Each answerMemory, or
+	// when it is full, recent becomes older.
+	recent, older map[Trait]time.Time
 	recentSince   time.Time
 	// crashes are the confirmed crashes, oldest first. suspected are those whose
 	// endpoint is being checked, by endpoint ID.
@@ -34,51 +36,51 @@
 
 // NewEvidence returns the evidence of a gateway that starts at now.
 func NewEvidence(now time.Time) *Evidence {
-	return &Evidence{recent: map[Part]time.Time{}, older: map[Part]time.Time{}, recentSince: now, suspected: map[string]*Crash{}}
+	return &Evidence{recent: map[Trait]time.Time{}, older: map[Trait]time.Time{}, recentSince: now, suspected: map[string]*Crash{}}
 }
 
-// RecordAnswer records that a request was answered in full.
-func (e *Evidence) RecordAnswer(now time.Time, service string, parts []string) {
-	if now.Sub(e.recentSince) >= answerMemory {
-		e.older, e.recent, e.recentSince = e.recent, map[Part]time.Time{}, now
+// RecordAnswer records that a request with the traits was answered in full.
+func (e *Evidence) RecordAnswer(now time.Time, service string, traits []Trait) {
+	if now.Sub(e.recentSince) >= answerMemory || len(e.recent) >= maxAnswers {
+		e.older, e.recent, e.recentSince = e.recent, map[Trait]time.Time{}, now
 	}
-	e.recent[anyPart(service)] = now
-	for _, id := range parts {
-		e.recent[Part{Service: service, ID: id}] = now
+	e.recent[anyRequest(service)] = now
+	for _, t := range traits {
+		e.recent[t] = now
 	}
 }
 
-// LastAnswer returns when a request with the part was last answered in full, or the
+// LastAnswer returns when a request with the trait was last answered in full, or the
 // zero time if that is not known.
-func (e *Evidence) LastAnswer(p Part) time.Time {
-	if at, ok := e.recent[p]; ok {
+func (e *Evidence) LastAnswer(t Trait) time.Time {
+	if at, ok := e.recent[t]; ok {
 		return at
 	}
-	return e.older[p]
+	return e.older[t]
 }
 
 // RecordBroken records a request whose endpoint ended the connection and may have crashed
 // under it. It returns true if the caller must check whether the endpoint has crashed and
 // call RecordCheck.
-func (e *Evidence) RecordBroken(now time.Time, service, endpoint string, parts []string) bool {
+func (e *Evidence) RecordBroken(now time.Time, service, endpoint string, traits []Trait) bool {
 	if c := e.suspected[endpoint]; c != nil {
-		c.add(parts)
+		c.add(traits)
 		return false
 	}
 	for _, r := range e.crashes {
 		if r.crash.sameCrash(endpoint, now) {
-			r.crash.add(parts)
+			r.crash.add(traits)
 			r.acknowledgedBy = ""
 			return false
 		}
 	}
-	e.suspected[endpoint] = &Crash{Service: service, Endpoint: endpoint, At: now, Requests: [][]string{parts}}
+	e.suspected[endpoint] = &Crash{Service: service, Endpoint: endpoint, At: now, Requests: [][]Trait{traits}}
 	return true
 }
 
-func (c *Crash) add(parts []string) {
+func (c *Crash) add(traits []Trait) {
 	if len(c.Requests) < maxRequestsPerCrash {
-		c.Requests = append(c.Requests, parts)
+		c.Requests = append(c.Requests, traits)
 	}
 }
 
--- a/core/sqquarantine/score.go
+++ b/core/sqquarantine/score.go
@@ -1,47 +1,91 @@
 package sqquarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// mostHarmful returns the part with the highest score, or none if no part has one. It
-// returns several such parts if no crash happened under two of them, or if more crashes
-// are not likely to tell them apart, and otherwise none.
-func (t *Tracker) mostHarmful(crashes []*Crash, former map[Part]bool) []Part {
-	var worst []Part
+const (
+	// minCrashes is how many crashes under a trait, with no answer to it in between, make
+	// it harmful. A trait that was quarantined before needs minRepeatedCrashes.
+	minCrashes         = 3
+	minRepeatedCrashes = 1
+	// decisiveCrashes is how many crashes under several prompt parts make all of them
+	// harmful if nothing tells them apart.
+	decisiveCrashes = 5
+	// partSpacing and requestSpacing are the times between two crashes that count.
+	// Crashes that come closer together may have one other cause. A request that is sent on
+	// after a crash needs little time to crash the next endpoint.
+	partSpacing    = 100 * time.Millisecond
+	requestSpacing = 30 * time.Millisecond
+)
+
+// evidence is what decides on traits at one time.
+type evidence struct {
+	crashes []*Crash
+	// lastAnswer is when a request with a trait was last answered in full.
+	lastAnswer map[Trait]time.Time
+	// quarantined holds the traits in quarantine, and endedAt when the quarantine ended of
+	// those that are no longer.
+	quarantined map[Trait]bool
+	endedAt     map[Trait]time.Time
+}
+
+// harmful returns the traits to quarantine.
+func (e *evidence) harmful() []Trait {
+	traits := e.candidates()
+	return append(e.highest(traits[WholeRequest]), e.mostHarmfulParts(traits[PromptPart])...)
+}
+
+// candidates returns the traits of all crashes that are not in quarantine, each once, by
+// kind.
+func (e *evidence) candidates() map[Kind][]Trait {
+	traits := map[Kind][]Trait{}
+	seen := map[Trait]bool{}
+	for _, c := range e.crashes {
+		for _, t := range c.traits() {
+			if !seen[t] && !e.quarantined[t] {
+				seen[t] = true
+				traits[t.Kind] = append(traits[t.Kind], t)
+			}
+		}
+	}
+	return traits
+}
+
+// highest returns the traits with the highest score, or none if no trait has one. The
+// others are judged again once these explain their crashes.
+func (e *evidence) highest(traits []Trait) []Trait {
+	var worst []Trait
 	highest := 0
-	for _, p := range allParts(crashes) {
-		switch score := t.score(p, crashes, former[p]); {
+	for _, t := range traits {
+		switch score := e.score(t); {
 		case score == 0:
 		case score > highest:
-			worst, highest = []Part{p}, score
+			worst, highest = []Trait{t}, score
 		case score == highest:
-			worst = append(worst, p)
+			worst = append(worst, t)
 		}
 	}
-	if highest < decisiveCrashes && shareCrash(worst, crashes) {
-		return nil
-	}
 	return worst
 }
 
-// allParts returns the parts of all crashes, each once.
-func allParts(crashes []*Crash) []Part {
-	var parts []Part
-	seen := map[Part]bool{}
-	for _, c := range crashes {
-		for _, p := range c.parts() {
-			if !seen[p] {
-				seen[p] = true
-				parts = append(parts, p)
-			}
-		}
+// mostHarmfulParts returns the prompt parts with the highest score. Several are returned
+// only if no crash happened under two of them, or if more crashes are not likely to tell
+// them apart: a quarantine of a part refuses requests that differ in all else.
+func (e *evidence) mostHarmfulParts(parts []Trait) []Trait {
+	worst := e.highest(parts)
+	if len(worst) > 0 && e.score(worst[0]) < decisiveCrashes && e.shareCrash(worst) {
+		return nil
 	}
-	return parts
+	return worst
 }
 
-// score returns the number of crashes that count against the part, or 0 if they are not
-// enough. A part that was quarantined before scores above all others.
-func (t *Tracker) score(p Part, crashes []*Crash, former bool) int {
-	n := t.countCrashes(p, crashes)
+// score returns the number of crashes that count against the trait, or 0 if they are not
+// enough. A trait that was quarantined before scores above all others.
+func (e *evidence) score(t Trait) int {
+	n := e.countCrashes(t)
+	_, former := e.endedAt[t]
 	switch {
 	case former && n >= minRepeatedCrashes:
 		return n + maxCrashes
@@ -52,37 +96,95 @@
 	}
 }
 
-// shareCrash reports whether an endpoint crashed under two of the parts at once.
-func shareCrash(parts []Part, crashes []*Crash) bool {
-	for _, c := range crashes {
+// shareCrash reports whether an endpoint crashed under two of the traits at once.
+func (e *evidence) shareCrash(traits []Trait) bool {
+	return slices.ContainsFunc(e.crashes, func(c *Crash) bool {
 		n := 0
-		for _, p := range parts {
-			if c.contains(p) {
+		for _, t := range traits {
+			if c.contains(t) {
 				n++
 			}
 		}
-		if n > 1 {
-			return true
+		return n > 1
+	})
+}
+
+// countCrashes returns how many crashes happened under the trait since a request with it
+// was last answered and since its last quarantine ended. It returns 0 unless the service
+// has answered other requests meanwhile: a service that answers nothing has another fault.
+func (e *evidence) countCrashes(t Trait) int {
+	spacing := partSpacing
+	if t.Kind == WholeRequest {
+		spacing = requestSpacing
+	}
+	var counted []*Crash
+	seen := map[string]bool{}
+	for _, c := range e.crashes {
+		isOld := !c.At.After(e.lastAnswer[t]) || !c.At.After(e.endedAt[t])
+		if isOld || e.explained(c, t) || !addsRequest(c, t, seen) {
+			continue
+		}
+		if n := len(counted); n > 0 && c.At.Sub(counted[n-1].At) < spacing {
+			continue
 		}
+		counted = append(counted, c)
 	}
-	return false
+	if len(counted) == 0 || !e.answersOthers(t, counted) {
+		return 0
+	}
+	return len(counted)
 }
 
-// countCrashes returns how many crashes happened under the part since a request with it
-// was last answered. It returns 0 unless the service has answered other requests since:
-// a service that answers nothing has another fault.
-func (t *Tracker) countCrashes(p Part, crashes []*Crash) int {
-	n := 0
-	var last time.Time
-	for _, c := range crashes {
-		if !c.contains(p) || !c.At.After(t.lastAnswer[p]) || n > 0 && c.At.Sub(last) < crashSpacing {
+// addsRequest reports whether the crash happened under a request with the trait that is
+// not among those seen, and adds such requests to them. A part counts once for each
+// request, since a request that crashes endpoints by itself says nothing about its parts.
+func addsRequest(c *Crash, t Trait, seen map[string]bool) bool {
+	isNew := false
+	for _, request := range c.Requests {
+		if !slices.Contains(request, t) {
+			continue
+		}
+		id := wholeRequest(request)
+		if t.Kind == PromptPart && id != "" && seen[id] {
 			continue
 		}
-		n++
-		last = c.At
+		seen[id] = true
+		isNew = true
 	}
-	if !t.lastAnswer[anyPart(p.Service)].After(last) {
-		return 0
+	return isNew
+}
+
+// answersOthers reports whether the service answered requests while endpoints crashed
+// under the trait. One request can take all endpoints of a small service within a moment,
+// so that nothing is answered after its last crash; of a prompt part, which all requests
+// may have, more is asked.
+func (e *evidence) answersOthers(t Trait, counted []*Crash) bool {
+	if t.Kind == PromptPart {
+		return e.lastAnswer[anyRequest(t.Service)].After(counted[len(counted)-1].At)
 	}
-	return n
+	return slices.ContainsFunc(counted, func(c *Crash) bool {
+		return e.lastAnswer[anyRequest(c.Service)].After(counted[0].At)
+	})
+}
+
+// explained reports whether the crash happened under another trait that is or was in
+// quarantine. A request in quarantine does not clear its own parts.
+func (e *evidence) explained(c *Crash, t Trait) bool {
+	for _, request := range c.Requests {
+		has := slices.Contains(request, t)
+		for _, other := range request {
+			isOwn := has && t.Kind == PromptPart && other.Kind == WholeRequest
+			if other != t && !isOwn && e.explains(other, c) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// explains reports whether the trait was in quarantine when gateways could know of the
+// crash, or is now.
+func (e *evidence) explains(t Trait, c *Crash) bool {
+	endedAt, former := e.endedAt[t]
+	return e.quarantined[t] || former && !c.At.After(endedAt)
 }
--- a/core/sqquarantine/sqquarantine_test.go
+++ b/core/sqquarantine/sqquarantine_test.go
@@ -11,7 +11,16 @@
 
 const service = "engines"
 
-func part(id string) Part { return Part{Service: service, ID: id} }
+func part(id string) Trait { return Trait{Service: service, ID: id} }
+
+// withParts returns the traits of requests to the service with the parts.
+func withParts(requests ...[]string) [][]Trait {
+	traits := make([][]Trait, 0, len(requests))
+	for _, parts := range requests {
+		traits = append(traits, Traits(service, parts, ""))
+	}
+	return traits
+}
 
 // history plays crashes and answers to a tracker. Times are milliseconds after start.
 type history struct {
@@ -27,11 +36,11 @@
 func (h *history) at(ms int) time.Time { return h.start.Add(time.Duration(ms) * time.Millisecond) }
 
 func (h *history) crash(ms int, endpoint string, requests ...[]string) {
-	h.tracker.RecordCrash(h.at(ms), &Crash{Service: service, Endpoint: endpoint, At: h.at(ms), Requests: requests})
+	h.tracker.RecordCrash(h.at(ms), &Crash{Service: service, Endpoint: endpoint, At: h.at(ms), Requests: withParts(requests...)})
 }
 
 func (h *history) answer(ms int, parts ...string) {
-	h.tracker.RecordAnswer(anyPart(service), h.at(ms))
+	h.tracker.RecordAnswer(anyRequest(service), h.at(ms))
 	for _, p := range parts {
 		h.tracker.RecordAnswer(part(p), h.at(ms))
 	}
@@ -52,7 +61,7 @@
 	h := newHistory()
 	h.crashThreeTimes("bad")
 	assert.Equal(t, len(h.decide(2400).Quarantine), 0)
-	assert.DeepEqual(t, h.decide(2600).Quarantine, []Part{part("bad")})
+	assert.DeepEqual(t, h.decide(2600).Quarantine, []Trait{part("bad")})
 }
 
 func TestAnsweredPartIsNotHarmful(t *testing.T) {
@@ -89,7 +98,7 @@
 		h.answer(1000*i+500, "ab", "s1")
 	}
 	assert.Equal(t, len(h.tracker.crashes), 3)
-	assert.DeepEqual(t, h.decide(3000).Quarantine, []Part{part("bad")})
+	assert.DeepEqual(t, h.decide(3000).Quarantine, []Trait{part("bad")})
 }
 
 // TestTiedPartsWaitForEvidence checks that two parts with the same crashes are told apart
@@ -103,7 +112,7 @@
 	assert.Equal(t, len(h.decide(3000).Quarantine), 0)
 	h.crash(3000, "e4", []string{"bad"})
 	h.answer(3500)
-	assert.DeepEqual(t, h.decide(4000).Quarantine, []Part{part("bad")})
+	assert.DeepEqual(t, h.decide(4000).Quarantine, []Trait{part("bad")})
 
 	h = newHistory()
 	for i := range decisiveCrashes {
@@ -128,19 +137,19 @@
 func TestQuarantineExplainsCrashes(t *testing.T) {
 	h := newHistory()
 	h.crashThreeTimes("bad")
-	h.entries = []Entry{{Part: part("bad"), Active: true}}
+	h.entries = []Entry{{Trait: part("bad"), Active: true}}
 	assert.Equal(t, len(h.decide(3000).Quarantine), 0)
 	for i := range 3 {
 		h.crash(10_000+1000*i, fmt.Sprintf("f%d", i), []string{"ab", "worse"}, []string{"ab", "bad", "s1"})
 		h.crash(20_000+1000*i, fmt.Sprintf("g%d", i), []string{"ab", "worse"})
 		h.answer(20_500+1000*i, "ab")
 	}
-	assert.DeepEqual(t, h.decide(30_000).Quarantine, []Part{part("worse")})
+	assert.DeepEqual(t, h.decide(30_000).Quarantine, []Trait{part("worse")})
 }
 
 func TestAnswerReleasesAPart(t *testing.T) {
 	h := newHistory()
-	h.entries = []Entry{{Part: part("a"), Active: true}, {Part: part("b"), Active: false}}
+	h.entries = []Entry{{Trait: part("a"), Active: true}, {Trait: part("b"), Active: false}}
 	assert.Equal(t, len(h.decide(0).Release), 0)
 	h.answer(100, "a", "b")
 	assert.Equal(t, len(h.decide(200).Release), 2)
@@ -150,12 +159,12 @@
 // quarantined again after one crash, for twice as long.
 func TestOneCrashSufficesAfterATerm(t *testing.T) {
 	h := newHistory()
-	h.entries = []Entry{{Part: part("bad")}}
+	h.entries = []Entry{{Trait: part("bad")}}
 	h.crash(0, "e1", []string{"ab", "bad"})
 	h.answer(500, "ab")
-	assert.DeepEqual(t, h.decide(1000).Quarantine, []Part{part("bad")})
-	assert.Equal(t, Term(1), 2*Term(0))
-	assert.Equal(t, Term(100), Term(maxDoubling))
+	assert.DeepEqual(t, h.decide(1000).Quarantine, []Trait{part("bad")})
+	assert.Equal(t, Term(PromptPart, 1), 2*Term(PromptPart, 0))
+	assert.Equal(t, Term(PromptPart, 100), Term(PromptPart, maxDoubling))
 }
 
 // TestSuspectsAreThoseWithoutAnswer checks that gateways are asked only about parts that
@@ -163,9 +172,9 @@
 func TestSuspectsAreThoseWithoutAnswer(t *testing.T) {
 	h := newHistory()
 	h.crash(0, "e1", []string{"ab", "bad"})
-	assert.DeepEqual(t, h.tracker.Suspects(h.at(0), nil), []Part{part("ab"), part("bad"), anyPart(service)})
+	assert.DeepEqual(t, h.tracker.Suspects(h.at(0), nil), []Trait{part("ab"), part("bad"), anyRequest(service)})
 	h.answer(10, "ab")
-	assert.DeepEqual(t, h.tracker.Suspects(h.at(10), []Entry{{Part: part("old")}}), []Part{part("old"), part("bad")})
+	assert.DeepEqual(t, h.tracker.Suspects(h.at(10), []Entry{{Trait: part("old")}}), []Trait{part("old"), part("bad")})
 	assert.Equal(t, len(h.tracker.Suspects(h.at(10).Add(askTime), nil)), 0)
 }
 
@@ -194,7 +203,7 @@
 			}
 			for _, p := range h.decide(ms).Quarantine {
 				assert.Equal(t, p, part("bad"), "seed %d", seed)
-				h.entries = append(h.entries, Entry{Part: p, Active: true})
+				h.entries = append(h.entries, Entry{Trait: p, Active: true})
 			}
 		}
 		assert.Equal(t, len(h.entries), 1, "seed %d", seed)
@@ -207,18 +216,18 @@
 func TestEvidence(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e := NewEvidence(now)
-	assert.Assert(t, e.RecordBroken(now, service, "e1", []string{"a"}))
-	assert.Assert(t, !e.RecordBroken(now, service, "e1", []string{"b"}))
+	assert.Assert(t, e.RecordBroken(now, service, "e1", Traits(service, []string{"a"}, "")))
+	assert.Assert(t, !e.RecordBroken(now, service, "e1", Traits(service, []string{"b"}, "")))
 	assert.Equal(t, len(e.Unacknowledged("")), 0)
 	e.RecordCheck("e1", true)
-	assert.Assert(t, !e.RecordBroken(now, service, "e1", []string{"c"}))
-	assert.DeepEqual(t, e.Unacknowledged("h1")[0].Requests, [][]string{{"a"}, {"b"}, {"c"}})
+	assert.Assert(t, !e.RecordBroken(now, service, "e1", Traits(service, []string{"c"}, "")))
+	assert.DeepEqual(t, e.Unacknowledged("h1")[0].Requests, withParts([]string{"a"}, []string{"b"}, []string{"c"}))
 	e.Acknowledge(now, "h1", "h1")
 	assert.Equal(t, len(e.Unacknowledged("h1")), 0)
 	assert.Equal(t, len(e.Unacknowledged("h2")), 1)
 	e.Acknowledge(now.Add(crashMemory+time.Second), "h2", "h2")
 	assert.Equal(t, len(e.Unacknowledged("h3")), 0)
-	assert.Assert(t, e.RecordBroken(now, service, "e2", []string{"a"}))
+	assert.Assert(t, e.RecordBroken(now, service, "e2", Traits(service, []string{"a"}, "")))
 	e.RecordCheck("e2", false)
 	assert.Equal(t, len(e.Unacknowledged("h3")), 0)
 }
@@ -227,10 +236,10 @@
 func TestAnswersAreRemembered(t *testing.T) {
 	now := time.Unix(1000, 0)
 	e := NewEvidence(now)
-	e.RecordAnswer(now, service, []string{"a"})
-	e.RecordAnswer(now.Add(answerMemory), service, []string{"b"})
+	e.RecordAnswer(now, service, Traits(service, []string{"a"}, ""))
+	e.RecordAnswer(now.Add(answerMemory), service, Traits(service, []string{"b"}, ""))
 	assert.Equal(t, e.LastAnswer(part("a")), now)
-	assert.Equal(t, e.LastAnswer(anyPart(service)), now.Add(answerMemory))
-	e.RecordAnswer(now.Add(2*answerMemory), service, []string{"b"})
+	assert.Equal(t, e.LastAnswer(anyRequest(service)), now.Add(answerMemory))
+	e.RecordAnswer(now.Add(2*answerMemory), service, Traits(service, []string{"b"}, ""))
 	assert.Assert(t, e.LastAnswer(part("a")).IsZero())
 }
--- a/core/sqstate/quarantine.go
+++ b/core/sqstate/quarantine.go
@@ -8,32 +8,32 @@
 	"sequoiadock/core/sqcommand"
 )
 
-// maxQuarantinedParts is how many quarantined parts are kept. Of more, those whose term
+// maxQuarantinedTraits is how many quarantined traits are kept. Of more, those whose term
 // ends first are dropped.
-const maxQuarantinedParts = 64
+const maxQuarantinedTraits = 256
 
-// QuarantinedParts returns copies of the parts of prompts that are or were quarantined,
+// QuarantinedTraits returns copies of the traits of requests that are or were quarantined,
 // sorted by the end of their terms.
-func (s *State) QuarantinedParts() []*sqcommand.QuarantinedPart {
-	list := make([]*sqcommand.QuarantinedPart, 0, len(s.quarantined))
+func (s *State) QuarantinedTraits() []*sqcommand.QuarantinedTrait {
+	list := make([]*sqcommand.QuarantinedTrait, 0, len(s.quarantined))
 	for _, p := range s.quarantined {
 		list = append(list, proto.CloneOf(p))
 	}
 	return list
 }
 
-// setQuarantine replaces the record of a part, or removes it.
+// setQuarantine replaces the record of a trait, or removes it.
 func (s *State) setQuarantine(q *sqcommand.SetQuarantine) *sqcommand.Result {
-	part := q.GetPart()
-	s.quarantined = slices.DeleteFunc(s.quarantined, func(p *sqcommand.QuarantinedPart) bool {
-		return p.GetService() == part.GetService() && p.GetId() == part.GetId()
+	trait := q.GetTrait()
+	s.quarantined = slices.DeleteFunc(s.quarantined, func(p *sqcommand.QuarantinedTrait) bool {
+		return p.GetKind() == trait.GetKind() && p.GetService() == trait.GetService() && p.GetId() == trait.GetId()
 	})
 	if !q.GetRemove() {
-		s.quarantined = append(s.quarantined, proto.CloneOf(part))
-		slices.SortStableFunc(s.quarantined, func(a, b *sqcommand.QuarantinedPart) int {
+		s.quarantined = append(s.quarantined, proto.CloneOf(trait))
+		slices.SortStableFunc(s.quarantined, func(a, b *sqcommand.QuarantinedTrait) int {
 			return int(min(max(a.GetUntilUnixNano()-b.GetUntilUnixNano(), -1), 1))
 		})
-		s.quarantined = s.quarantined[max(0, len(s.quarantined)-maxQuarantinedParts):]
+		s.quarantined = s.quarantined[max(0, len(s.quarantined)-maxQuarantinedTraits):]
 	}
 	return &sqcommand.Result{Version: s.tableVersion}
 }
--- a/core/sqstate/snapshot.go
+++ b/core/sqstate/snapshot.go
@@ -49,7 +49,7 @@
 	out.TableVersion, out.TableDocument = s.RoutingTable()
 	out.CountWindows = s.CountWindows()
 	out.FirstFleets = s.sortedFirstFleets()
-	out.QuarantinedParts = s.QuarantinedParts()
+	out.QuarantinedTraits = s.QuarantinedTraits()
 	return out
 }
 
--- a/core/sqstate/state.go
+++ b/core/sqstate/state.go
@@ -65,7 +65,7 @@
 	// before any were ordered.
 	initialEndpoints map[string]uint32
 	// quarantined is sorted by the end of the term, ascending.
-	quarantined []*sqcommand.QuarantinedPart
+	quarantined []*sqcommand.QuarantinedTrait
 }
 
 // New returns the empty state of a new deployment.
--- a/core/sqstate/table.go
+++ b/core/sqstate/table.go
@@ -113,7 +113,7 @@
 	for _, f := range in.GetFirstFleets() {
 		s.initialEndpoints[f.GetService()] = f.GetEndpoints()
 	}
-	for _, p := range in.GetQuarantinedParts() {
+	for _, p := range in.GetQuarantinedTraits() {
 		s.quarantined = append(s.quarantined, proto.CloneOf(p))
 	}
 }
--- a/core/sqstate/table_test.go
+++ b/core/sqstate/table_test.go
@@ -89,13 +89,13 @@
 	assert.Equal(t, s.CountWindows()[0].GetWindow(), uint64(2))
 }
 
-// TestQuarantinedParts checks that the latest record of a part is kept, also after a
+// TestQuarantinedTraits checks that the latest record of a part is kept, also after a
 // restore from a snapshot, and that the number of parts is limited.
-func TestQuarantinedParts(t *testing.T) {
+func TestQuarantinedTraits(t *testing.T) {
 	s := New(Config{})
 	set := func(id string, until int64, remove bool) {
 		s.Apply(&sqcommand.Command{Body: &sqcommand.Command_SetQuarantine{SetQuarantine: &sqcommand.SetQuarantine{
-			Part: &sqcommand.QuarantinedPart{Service: "engines", Id: id, UntilUnixNano: until}, Remove: remove,
+			Trait: &sqcommand.QuarantinedTrait{Service: "engines", Id: id, UntilUnixNano: until}, Remove: remove,
 		}}})
 	}
 	set("a", 5, false)
@@ -104,16 +104,16 @@
 	restored := New(Config{})
 	restored.Restore(s.Snapshot())
 	for _, st := range []*State{s, restored} {
-		parts := st.QuarantinedParts()
+		parts := st.QuarantinedTraits()
 		assert.Equal(t, len(parts), 2)
 		assert.Equal(t, parts[0].GetId(), "b")
 		assert.Equal(t, parts[1].GetUntilUnixNano(), int64(7))
 	}
 	set("b", 0, true)
-	assert.Equal(t, len(s.QuarantinedParts()), 1)
-	for i := range 2 * maxQuarantinedParts {
+	assert.Equal(t, len(s.QuarantinedTraits()), 1)
+	for i := range 2 * maxQuarantinedTraits {
 		set(strconv.Itoa(i), int64(100+i), false)
 	}
-	assert.Equal(t, len(s.QuarantinedParts()), maxQuarantinedParts)
-	assert.Equal(t, s.QuarantinedParts()[0].GetUntilUnixNano(), int64(100+maxQuarantinedParts))
+	assert.Equal(t, len(s.QuarantinedTraits()), maxQuarantinedTraits)
+	assert.Equal(t, s.QuarantinedTraits()[0].GetUntilUnixNano(), int64(100+maxQuarantinedTraits))
 }
--- a/core/sqtrace/sqtrace.go
+++ b/core/sqtrace/sqtrace.go
@@ -136,6 +136,6 @@
 	return slices.Contains([]int{
 		sqevent.HolderLeaseGained.Number, sqevent.HolderLeaseLost.Number, sqevent.ServiceLoad.Number,
 		sqevent.EndpointListFailed.Number, sqevent.EndpointListChanged.Number,
-		sqevent.PartQuarantined.Number, sqevent.PartReleased.Number,
+		sqevent.TraitQuarantined.Number, sqevent.TraitReleased.Number,
 	}, event)
 }
--- a/io/sqrpc/quarantine.go
+++ b/io/sqrpc/quarantine.go
@@ -6,30 +6,38 @@
 	"sequoiadock/core/sqquarantine"
 )
 
-// FromPart converts a part of prompts to its message.
-func FromPart(p sqquarantine.Part) *PromptPart { return &PromptPart{Service: p.Service, Id: p.ID} }
+// FromTrait converts a trait of requests to its message.
+func FromTrait(t sqquarantine.Trait) *Trait {
+	return &Trait{Service: t.Service, Id: t.ID, Kind: uint32(t.Kind)}
+}
 
-// ToPart converts the message of a part of prompts.
-func ToPart(p *PromptPart) sqquarantine.Part {
-	return sqquarantine.Part{Service: p.GetService(), ID: p.GetId()}
+// ToTrait converts the message of a trait of requests.
+func ToTrait(t *Trait) sqquarantine.Trait {
+	return sqquarantine.Trait{Kind: sqquarantine.Kind(t.GetKind()), Service: t.GetService(), ID: t.GetId()}
 }
 
 // FromCrash converts a crash to its message.
 func FromCrash(now time.Time, c *sqquarantine.Crash) *CrashReport {
-	r := &CrashReport{Service: c.Service, Endpoint: c.Endpoint, AgeMillis: uint32(max(0, now.Sub(c.At).Milliseconds()))}
-	for _, ids := range c.Requests {
-		r.Requests = append(r.Requests, &SharedParts{Ids: ids})
+	r := &CrashReport{Service: c.Service, Endpoint: c.Endpoint, AgeMillis: ageMillis(now, c.At)}
+	for _, request := range c.Requests {
+		traits := &RequestTraits{}
+		for _, t := range request {
+			if t.Kind == sqquarantine.WholeRequest {
+				traits.RequestId = t.ID
+				continue
+			}
+			traits.Ids = append(traits.Ids, t.ID)
+		}
+		r.Requests = append(r.Requests, traits)
 	}
 	return r
 }
 
 // ToCrash converts the message of a crash that was received at now.
 func ToCrash(now time.Time, r *CrashReport) *sqquarantine.Crash {
-	c := &sqquarantine.Crash{
-		Service: r.GetService(), Endpoint: r.GetEndpoint(), At: now.Add(-time.Duration(r.GetAgeMillis()) * time.Millisecond),
-	}
+	c := &sqquarantine.Crash{Service: r.GetService(), Endpoint: r.GetEndpoint(), At: ageTime(now, r.GetAgeMillis())}
 	for _, request := range r.GetRequests() {
-		c.Requests = append(c.Requests, request.GetIds())
+		c.Requests = append(c.Requests, sqquarantine.Traits(r.GetService(), request.GetIds(), request.GetRequestId()))
 	}
 	return c
 }
