--- a/app/sqgateway/gateway_test.go
+++ b/app/sqgateway/gateway_test.go
@@ -57,19 +57,17 @@
 func TestRefusals(t *testing.T) {
 	e := newFakeEndpoint(t, signedHandler("x"))
 	s := newTestSystem(t, e.fleetEntry("i1", "ledger", sqplace.AnyStage))
-	longBody := string(make([]byte, 2<<20))
 	for _, c := range []struct {
-		name, path, key, body string
-		want                  int
+		name, path, key string
+		want            int
 	}{
-		{"unknown path", "/none/x", "key", "", http.StatusNotFound},
-		{"unknown key", "/read/x", "stolen", "", http.StatusUnauthorized},
-		{"no key", "/read/x", "", "", http.StatusUnauthorized},
-		{"no endpoint", "/ask/x", "key", "", http.StatusServiceUnavailable},
-		{"long body", "/book/x", "key", longBody, http.StatusRequestEntityTooLarge},
+		{"unknown path", "/none/x", "key", http.StatusNotFound},
+		{"unknown key", "/read/x", "stolen", http.StatusUnauthorized},
+		{"no key", "/read/x", "", http.StatusUnauthorized},
+		{"no endpoint", "/ask/x", "key", http.StatusServiceUnavailable},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			res, _, _ := s.call(t, http.MethodPost, c.path, c.body, "X-Key", c.key)
+			res, _, _ := s.call(t, http.MethodPost, c.path, "", "X-Key", c.key)
 			assert.Equal(t, res.StatusCode, c.want)
 			assert.Equal(t, res.StatusCode == http.StatusServiceUnavailable, res.Header.Get("Retry-After") != "")
 		})
@@ -82,6 +80,16 @@
 	assert.Equal(t, e.requests()[0].Header.Get("X-Team"), "")
 }
 
+func TestCallerOfTooLongBodyGetsResetInPlaceOfStatus(t *testing.T) {
+	e := newFakeEndpoint(t, signedHandler("x"))
+	s := newTestSystem(t, e.fleetEntry("i1", "ledger", sqplace.AnyStage))
+	res, _, _ := s.call(t, http.MethodPost, "/book/x", string(make([]byte, 2<<20)))
+	assert.Assert(t, res != nil, "no response")
+	assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, res.Header.Get("Retry-After"), "")
+	assert.Equal(t, len(e.requests()), 0)
+}
+
 // TestAtMostOnceNotRetried checks that a request that must run at most once is not
 // sent again after its response was lost, and that the status does not imply that
 // it has not run.
