Streams go on at the software version that began them

Cause: the version is in the platform's list, and the adapter dropped it. Nothing kept where a stream began, neither for the next send nor for other gateways.

Change: endpoints have a version. The placer lets a request go on at the version that began its stream only; without one left, the stream ends at once. Prefill and decode engines of a request have one version. Gateways report to the holder where streams began (core/sqorigin), in each heartbeat and all again to the next holder; a gateway at which a caller takes one up asks the holder.

--- a/app/sqcoordinator/duties.go
+++ b/app/sqcoordinator/duties.go
@@ -71,6 +71,7 @@
 	t.fleetReadFailing, t.fleetReadAt = false, now
 	isFirst, sent := t.fleet == nil, t.endpointsForGateways()
 	t.fleet = withSteadyCold(now, t.fleet, list)
+	t.recordVersions(now, list)
 	t.orders.pruneStageOverrides(list)
 	listed := make(map[string]bool, len(list))
 	for i := range list {
--- a/app/sqcoordinator/heartbeat.go
+++ b/app/sqcoordinator/heartbeat.go
@@ -82,6 +82,7 @@
 	c.mu.Lock()
 	c.recordBeat(now, t, req)
 	c.recordDepartures(now, t, req)
+	t.recordOrigins(now, req)
 	c.exchangeLimits(now, t, req, res)
 	c.fillBeatResponse(now, t, req, res)
 	t.cacheUpdates.exchange(req, res)
--- a/app/sqcoordinator/holder.go
+++ b/app/sqcoordinator/holder.go
@@ -14,6 +14,7 @@
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqlimit"
 	"sequoiadock/core/sqoffset"
+	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqquorum"
@@ -57,6 +58,10 @@
 	departures *sqdeparture.Log
 	// limits holds the limits that endpoints name.
 	limits *sqlimit.Issuer
+	// origins holds where the streams of all gateways began, versions which versions the
+	// endpoints of services have had.
+	origins  *sqorigin.Log
+	versions *sqorigin.Versions
 }
 
 func newTermState(log *sqlog.Log, now time.Time, term uint64, billingWindow time.Duration) *termState {
@@ -65,6 +70,7 @@
 		requestCounts: sqwindow.NewCollector(now, billingWindow), clockOffsets: sqoffset.New(), fleetRevision: term << counterBits,
 		orders: newOrderState(), cacheUpdates: newCacheUpdateLog(term),
 		quarantine: sqquarantine.NewTracker(), departures: sqdeparture.NewLog(), limits: sqlimit.NewIssuer(),
+		origins: sqorigin.NewLog(maxOrigins), versions: sqorigin.NewVersions(),
 	}
 }
 
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -30,7 +30,7 @@
 // the stream has to be resumed on another endpoint.
 func (x *request) exchange(e *sqplace.Endpoint, dispatch *sqplace.Dispatch,
 	cacheSource string) (sendResult, bool) {
-	x.lastEndpoint = e.ID()
+	x.lastEndpoint, x.lastVersion = e.ID(), e.Version()
 	call := x.newCall(e, sqattempt.SendParams{CacheSource: cacheSource, ResumeAfter: x.resumeAfter()})
 	sentAt := sqclock.Now()
 	reply, err := x.g.pool.Do(x.ctx, call)
--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -37,6 +37,10 @@
 	limitReports []*sqrpc.LimitReport
 	// limits are the limits of the next responses. Their permits are issued once.
 	limits []*sqrpc.EndpointLimit
+	// probes counts the requests for one send after a quarantine. The first one is granted.
+	probes int
+	// origins holds where streams began, by attempt.
+	origins map[string]*sqrpc.StreamOrigin
 }
 
 // Beat implements sqrpc.Coordinator.
@@ -59,6 +63,9 @@
 			h.limits = slices.Delete(h.limits, i, i+1)
 		}
 	}
+	for _, o := range req.GetOrigins() {
+		h.origins[o.GetAttempt()] = o
+	}
 	res := &sqrpc.BeatResponse{
 		FreshMillis: uint32(h.freshFor.Milliseconds()), TableVersion: h.version,
 		FleetRevision: h.revision, GatewayCount: 1, TrueUnixNano: time.Now().UnixNano(), Holder: "holder",
@@ -75,6 +82,21 @@
 	return res, nil
 }
 
+// FindOrigin implements sqrpc.Coordinator.
+func (h *fakeLeaseHolder) FindOrigin(_ context.Context, req *sqrpc.FindOriginRequest) (*sqrpc.FindOriginResponse, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return &sqrpc.FindOriginResponse{Origin: h.origins[req.GetAttempt()]}, nil
+}
+
+// Probe implements sqrpc.Coordinator.
+func (h *fakeLeaseHolder) Probe(context.Context, *sqrpc.ProbeRequest) (*sqrpc.ProbeResponse, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.probes++
+	return &sqrpc.ProbeResponse{Granted: h.probes == 1, RetryAfterMillis: 2000}, nil
+}
+
 // Table implements sqrpc.Coordinator.
 func (h *fakeLeaseHolder) Table(_ context.Context, req *sqrpc.TableRequest) (*sqrpc.TablePiece, error) {
 	h.mu.Lock()
@@ -99,5 +121,6 @@
 
 // newFakeLeaseHolder returns a holder of the tests' routing table and the fleet.
 func newFakeLeaseHolder(fleet ...sqplace.Endpoint) *fakeLeaseHolder {
-	return &fakeLeaseHolder{freshFor: 4 * time.Second, table: testTable(3), version: 3, revision: 1, fleet: fleet}
+	return &fakeLeaseHolder{freshFor: 4 * time.Second, table: testTable(3), version: 3, revision: 1, fleet: fleet,
+		origins: map[string]*sqrpc.StreamOrigin{}}
 }
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -21,6 +21,7 @@
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqfreshness"
+	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqretry"
@@ -127,6 +128,8 @@
 	billingCounter  *sqwindow.Counter
 	evidence        *sqquarantine.Evidence
 	demandByService map[string]*demand
+	// origins holds where the streams began that began at this gateway.
+	origins *sqorigin.Log
 	// unsentCacheUpdates holds the cache updates of this gateway that no lease holder
 	// has acknowledged. lastSeenCacheUpdate is the number of the last update that
 	// was received from other gateways.
@@ -163,6 +166,7 @@
 		billingCounter:    sqwindow.NewCounter(cfg.BillingWindow),
 		evidence:          sqquarantine.NewEvidence(sqclock.Now()),
 		demandByService:   map[string]*demand{},
+		origins:           sqorigin.NewLog(maxOrigins),
 	}
 	g.startedAt = sqclock.Now()
 	g.view.Store(&view{lastHeardAt: g.startedAt})
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -100,6 +100,7 @@
 	g.updateAvailability(sentAt)
 	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.coordinatorClient)
 	req, reports := g.heartbeatRequest(sentAt)
+	lastOrigin := g.addOrigins(req)
 	res, err := client.Beat(ctx, req)
 	if err != nil {
 		return sqrpc.FromTwirp(err)
@@ -107,6 +108,7 @@
 	g.applyLimits(sentAt, sqclock.Now(), reports, res)
 	g.applyResponse(sentAt, sqclock.Now(), res)
 	g.applyCacheUpdates(res)
+	g.acknowledgeOrigins(res.GetTerm(), lastOrigin)
 	return nil
 }
 
--- a/app/sqgateway/quarantine_test.go
+++ b/app/sqgateway/quarantine_test.go
@@ -39,6 +39,36 @@
 	assert.Equal(t, s.callWithPart(t, "bad").StatusCode, http.StatusOK)
 }
 
+func TestAllRequestsReturnAfterAQuarantine(t *testing.T) {
+	e := newFakeEndpoint(t, engineHandler(0))
+	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
+	s.holder.update(func() {
+		s.holder.quarantines = []*sqrpc.Quarantine{{Trait: &sqrpc.Trait{Service: "engines", Id: "bad"}}}
+	})
+	waitFor(t, func() bool { return len(s.gateway.view.Load().quarantines) == 1 })
+	assert.Equal(t, s.callWithPart(t, "bad").StatusCode, http.StatusOK)
+	res := s.callWithPart(t, "bad")
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, res.Header.Get("Retry-After"), "2.00")
+	assert.Equal(t, len(e.requests()), 1)
+}
+
+func TestPlainRequestUnderCrashIsNotReported(t *testing.T) {
+	var e *fakeEndpoint
+	e = newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		_ = e.Listener.Close()
+		resetConnection(w)
+	})
+	s := newTestSystem(t, e.fleetEntry("i1", "ledger", sqplace.AnyStage))
+	s.call(t, http.MethodGet, "/read/x", "")
+	waitFor(t, func() bool {
+		reported := false
+		s.holder.update(func() { reported = len(s.holder.crashes) > 0 })
+		return reported
+	})
+	s.holder.update(func() { assert.Assert(t, s.holder.crashes[0].GetRequests()[0].GetRequestId() != "") })
+}
+
 func TestCrashIsNotReported(t *testing.T) {
 	var e *fakeEndpoint
 	e = newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sequoiadock/core/sqattempt"
+	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqtable"
 	"sequoiadock/io/sqclock"
@@ -57,6 +58,8 @@
 	sends          int
 	// mayHaveRun is set once a send may have made an endpoint run the request.
 	mayHaveRun bool
+	// origin is where the stream of the request began, or nil if it has not begun.
+	origin *sqorigin.Origin
 	// probed holds the traits with which the lease holder allowed the request to be sent.
 	probed []sqquarantine.Trait
 	// noRemotePrefill is set once a remote prefill has failed.
@@ -64,8 +67,10 @@
 	// lastEndpoint and lastPrefillEndpoint are the IDs of the endpoints that the
 	// request and its prompt were last sent to. They are used in logs only.
 	lastEndpoint, lastPrefillEndpoint string
-	expectedLatency                   time.Duration
-	firstEventAt                      time.Time
+	// lastVersion is the software version of the last endpoint.
+	lastVersion     string
+	expectedLatency time.Duration
+	firstEventAt    time.Time
 	// sendFirstEventAt is when the first event of the last send came, or the zero time.
 	sendFirstEventAt time.Time
 	billed           bool
@@ -87,6 +92,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), x.deadline.Sub(x.receivedAt))
 	defer cancel()
 	x.ctx = ctx
+	if x.attempt.Resumes && x.route.Kind() == sqtable.Stream && !x.takeUpStream() {
+		return
+	}
 	x.dispatch()
 }
 
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -60,12 +60,15 @@
 	return choice
 }
 
-// chooseDecode chooses the decode engine after a remote prefill. The choice made
-// before the prefill may be outdated, since the list of endpoints may have changed.
-func (x *request) chooseDecode(now time.Time) sqplace.Choice {
+// chooseDecode chooses the decode engine after a remote prefill, of the version that
+// prefilled the prompt. The choice made before the prefill may be outdated, since the list
+// of endpoints may have changed.
+func (x *request) chooseDecode(now time.Time, prefiller *sqplace.Endpoint) sqplace.Choice {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	return x.g.placer.ChooseDecode(now, x.query(now))
+	q := x.query(now)
+	q.SameVersion, q.Version = true, prefiller.Version()
+	return x.g.placer.ChooseDecode(now, q)
 }
 
 // startDispatch records the request as in flight at the endpoint.
@@ -77,10 +80,14 @@
 }
 
 func (x *request) query(now time.Time) *sqplace.Query {
-	return &sqplace.Query{
+	q := &sqplace.Query{
 		Service: x.service, Prompt: x.attempt.Prompt, Urgent: x.urgent, TimeLeft: x.firstEventTimeLeft(now),
 		Tried: x.triedEndpoints, NoRemotePrefill: x.noRemotePrefill || x.stream != nil,
 	}
+	if x.origin != nil {
+		q.SameVersion, q.Version = true, x.origin.Version
+	}
+	return q
 }
 
 // firstEventTimeLeft returns the time within which the first event must arrive. It
@@ -146,9 +153,14 @@
 		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
 		return true
 	}
-	decode := x.chooseDecode(now)
+	decode := x.chooseDecode(now, choice.PrefillEndpoint)
 	if decode.Endpoint == nil {
 		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
+		if x.origin == nil && !x.noRemotePrefill {
+			// Engines of other versions may serve the request from the beginning.
+			x.noRemotePrefill = true
+			return false
+		}
 		x.finishUnanswered(x.stepWithoutEndpoint(now), decode.Reason, decode.RetryAfter)
 		return true
 	}
@@ -225,7 +237,7 @@
 		step = sqattempt.GiveUp
 	}
 	x.g.log.Event(sqevent.SendFailed, x.attempt.ID, e.ID(), res.outcome.String(), step.String(),
-		now.Sub(sentAt).Milliseconds(), res.reason, !x.sendFirstEventAt.IsZero(), x.attempt.Prompt.SharedParts(), x.content)
+		now.Sub(sentAt).Milliseconds(), res.reason, !x.sendFirstEventAt.IsZero(), x.attempt.Prompt.SharedParts(), x.content, e.Version())
 	if step == sqattempt.Resend {
 		x.g.metrics.resends.Inc()
 		return false
--- a/app/sqgateway/stream.go
+++ b/app/sqgateway/stream.go
@@ -98,6 +98,7 @@
 func (x *request) writeEvents(reply *sqlink.Response, framer sqframe.Framer, events []byte) bool {
 	if x.stream == nil {
 		x.stream = &stream{status: reply.Status(), rc: http.NewResponseController(x.w)}
+		x.recordOrigin(sqclock.Now())
 		x.writeHeader(reply.Status(), reply.Header(), -1)
 	}
 	x.stream.framer = framer
--- a/app/sqgateway/wire_test.go
+++ b/app/sqgateway/wire_test.go
@@ -18,7 +18,8 @@
 
 func (testWire) ParseAttempt(headers map[string][]string) sqattempt.Attempt {
 	h := http.Header(headers)
-	a := sqattempt.Attempt{ID: h.Get("X-Attempt"), Key: h.Get("X-Key"), Resumes: h.Get("X-After") != ""}
+	a := sqattempt.Attempt{ID: h.Get("X-Attempt"), Key: h.Get("X-Key"), Resumes: h.Get("X-After") != "",
+		ResumedAttempt: h.Get("X-Resumes")}
 	if ms, err := strconv.Atoi(h.Get("X-Wait")); err == nil {
 		a.Deadline = time.Duration(ms) * time.Millisecond
 	}
--- a/core/sqattempt/sqattempt.go
+++ b/core/sqattempt/sqattempt.go
@@ -21,7 +21,10 @@
 	Deadline time.Duration
 	// Resumes is set if the caller asks for the rest of an interrupted stream.
 	Resumes bool
-	Prompt  Prompt
+	// ResumedAttempt is the ID of the attempt that brought the first event of that stream,
+	// or "" if the caller does not name it.
+	ResumedAttempt string
+	Prompt         Prompt
 }
 
 // Prompt describes the prompt of a language-model request without its text.
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -11,7 +11,7 @@
 	RequestDone          = Event{6006, Info, "request answered", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "firstMillis", "totalMillis", "expectedMillis", "version", "framing"}}
 	RequestRefused       = Event{6007, Info, "request refused, not run", []string{"request", "route", "team", "status", "reason", "retryAfterMillis", "ageMillis", "version"}}
 	RequestFailed        = Event{6008, Warn, "request failed", []string{"request", "route", "team", "endpoint", "prefill", "sends", "status", "reason", "totalMillis", "version"}}
-	SendFailed           = Event{6009, Info, "send to an endpoint failed", []string{"request", "endpoint", "outcome", "next", "afterMillis", "reason", "events", "parts", "content"}}
+	SendFailed           = Event{6009, Info, "send to an endpoint failed", []string{"request", "endpoint", "outcome", "next", "afterMillis", "reason", "events", "parts", "content", "version"}}
 	CallerDisconnected   = Event{6010, Info, "caller disconnected before the response", []string{"request", "route", "endpoint", "totalMillis"}}
 	GatewayStopping      = Event{6011, Info, "gateway leaves the directory", []string{"keepMillis"}}
 	GatewayGraceExpired  = Event{6012, Warn, "stop grace period ended with requests still running", []string{"running"}}
@@ -31,6 +31,7 @@
 	EndpointLimitEnded   = Event{6026, Info, "endpoint has ended its limit", []string{"endpoint", "from"}}
 	LimitUnreadable      = Event{6027, Warn, "limit that an endpoint names cannot be read and is ignored", []string{"endpoint", "value"}}
 	ProbeAsked           = Event{6029, Info, "asked for one request with a trait whose quarantine has ended", []string{"request", "kind", "service", "trait", "granted", "error"}}
+	StreamTakenUp        = Event{6030, Info, "caller takes up a stream that began at another gateway", []string{"request", "resumes", "service", "version", "error"}}
 	ResponseMemoryShort  = Event{6028, Warn, "no memory for a long event of a response", []string{"request", "endpoint", "usedBytes"}}
 )
 
@@ -39,5 +40,5 @@
 	RequestDone, RequestRefused, RequestFailed, SendFailed, CallerDisconnected, GatewayStopping, GatewayGraceExpired,
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
 	EndpointLeaving, DepartureForgotten, EndpointRefuses, EndpointRefusalEnded, RetryAfterUnreadable,
-	TablePieceFailed, TableOutdated, EndpointLimited, EndpointLimitEnded, LimitUnreadable, ResponseMemoryShort, ProbeAsked,
+	TablePieceFailed, TableOutdated, EndpointLimited, EndpointLimitEnded, LimitUnreadable, ResponseMemoryShort, ProbeAsked, StreamTakenUp,
 }
--- a/core/sqplace/availability.go
+++ b/core/sqplace/availability.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"sequoiadock/core/sqlimit"
@@ -134,8 +135,11 @@
 
 // noEndpoint returns the choice for a request that no endpoint may get. The reason is used
 // if that does not change with time.
-func (p *Placer) noEndpoint(now time.Time, service, reason string) Choice {
-	if wait := p.RetryAfter(now, service); wait > 0 {
+func (p *Placer) noEndpoint(now time.Time, s *pool, q *Query, reason string) Choice {
+	if q.SameVersion && !slices.ContainsFunc(s.nodes, q.mayServe) {
+		return Choice{Reason: "no endpoint of version " + strconv.Quote(q.Version) + " is left, which began the stream"}
+	}
+	if wait := p.RetryAfter(now, q.Service); wait > 0 {
 		return Choice{RetryAfter: wait, Reason: "all endpoints refuse requests or have reached their limits"}
 	}
 	return Choice{RetryAfter: maxRetryAfter / 3, Reason: reason}
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -38,7 +38,7 @@
 	}
 	c := best.choice
 	if c.Endpoint == nil {
-		return p.noEndpoint(now, q.Service, "no endpoint can be reached")
+		return p.noEndpoint(now, s, q, "no endpoint can be reached")
 	}
 	if maxLatency := q.TimeLeft * maxLatencyPercent / 100; c.ExpectedLatency > maxLatency {
 		retryAfter := min(max(c.ExpectedLatency-maxLatency, minRetryAfter), maxRetryAfter)
@@ -57,7 +57,7 @@
 	r := newRequest(now, q, s)
 	c := p.bestDecode(now, s, r, withoutStage(p.candidates(now, s, r), Prefill)).choice
 	if c.Endpoint == nil {
-		return p.noEndpoint(now, q.Service, "no engine can make the tokens")
+		return p.noEndpoint(now, s, q, "no engine can make the tokens")
 	}
 	return c
 }
@@ -67,7 +67,7 @@
 func (p *Placer) candidates(now time.Time, s *pool, r *request) []*node {
 	var healthy, all []*node
 	for _, n := range s.nodes {
-		if !n.available(now) || slices.Contains(r.Tried, n.endpoint.ID()) {
+		if !n.available(now) || !r.allows(n) || slices.Contains(r.Tried, n.endpoint.ID()) {
 			continue
 		}
 		if !p.limits.Available(now, n.endpoint.ID()) {
@@ -124,12 +124,42 @@
 }
 
 // bestRemotePrefill returns the lowest-cost pair of a prefill engine that processes
-// the prompt and a decode engine that fetches its KV cache. It returns false if
-// remote prefill is not possible or not worth the transfer.
+// the prompt and a decode engine of the same version that fetches its KV cache. It returns
+// false if remote prefill is not possible or not worth the transfer.
 func (p *Placer) bestRemotePrefill(now time.Time, s *pool, r *request, candidates []*node) (scoredChoice, bool) {
 	if s.engine == nil || r.NoRemotePrefill || r.Prompt.Tokens < minRemotePrefillTokens {
 		return scoredChoice{}, false
 	}
+	var best scoredChoice
+	for _, nodes := range byVersion(candidates) {
+		pair, ok := p.bestPair(now, s, r, nodes)
+		if ok && (best.choice.Endpoint == nil || pair.cost < best.cost) {
+			best = pair
+		}
+	}
+	return best, best.choice.Endpoint != nil
+}
+
+// byVersion groups endpoints by the version of their software, in the order in which the
+// versions first appear.
+func byVersion(nodes []*node) [][]*node {
+	var groups [][]*node
+	index := map[string]int{}
+	for _, n := range nodes {
+		i, ok := index[n.endpoint.Version()]
+		if !ok {
+			i = len(groups)
+			index[n.endpoint.Version()] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], n)
+	}
+	return groups
+}
+
+// bestPair returns the lowest-cost pair of a prefill and a decode engine, or false if
+// there is none.
+func (p *Placer) bestPair(now time.Time, s *pool, r *request, candidates []*node) (scoredChoice, bool) {
 	prefillNodes := withoutStage(candidates, Decode)
 	preferred := preferredNode(r.hashes, r.lengths, prefillNodes)
 	var prefiller *node
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -7,6 +7,7 @@
 package sqplace
 
 import (
+	"slices"
 	"time"
 
 	"sequoiadock/core/sqattempt"
@@ -47,6 +48,9 @@
 	ColdUntil time.Time
 	// Spot is set if the provider may reclaim the endpoint.
 	Spot bool
+	// Version is the version of the endpoint's software. Nothing is known of the order of
+	// versions.
+	Version string
 }
 
 // Endpoint is one endpoint of the platform's list.
@@ -69,6 +73,9 @@
 // Zone returns the endpoint's availability zone.
 func (e *Endpoint) Zone() string { return e.cfg.Zone }
 
+// Version returns the version of the endpoint's software.
+func (e *Endpoint) Version() string { return e.cfg.Version }
+
 // Slots returns how many requests the endpoint runs at once.
 func (e *Endpoint) Slots() int { return e.cfg.Slots }
 
@@ -138,6 +145,18 @@
 	// NoRemotePrefill is set if the endpoint that generates the tokens must also
 	// prefill the prompt.
 	NoRemotePrefill bool
+	// SameVersion is set if only endpoints of Version may get the request, since another
+	// one of that version has begun to work on it.
+	SameVersion bool
+	Version     string
+}
+
+// allows reports whether the version of the endpoint may get the request.
+func (q *Query) allows(n *node) bool { return !q.SameVersion || n.endpoint.Version() == q.Version }
+
+// mayServe reports whether the endpoint may get the request now or later.
+func (q *Query) mayServe(n *node) bool {
+	return q.allows(n) && !n.departing() && !slices.Contains(q.Tried, n.endpoint.ID())
 }
 
 // Choice says which endpoints serve a request, or why none does.
--- a/core/sqtable/route.go
+++ b/core/sqtable/route.go
@@ -55,6 +55,17 @@
 	return last
 }
 
+// Services returns the names of the services that get requests of the route.
+func (r *Route) Services() []string {
+	var services []string
+	for _, s := range r.cfg.TrafficSplit {
+		if s.Weight > 0 {
+			services = append(services, s.Service)
+		}
+	}
+	return services
+}
+
 // Priority returns the priority of a request of the team, 0 being the most
 // urgent. The priority of the team, if it has one, overrides that of the route.
 // The team may be nil.
--- a/io/sqrpc/endpoint.go
+++ b/io/sqrpc/endpoint.go
@@ -11,6 +11,7 @@
 	return &ListedEndpoint{
 		Id: e.ID(), Service: e.Service(), Address: e.Address(), Zone: e.Zone(), Slots: uint32(e.Slots()),
 		Draining: e.Draining(), Stage: uint32(e.Stage()), ColdMillis: uint32(e.ColdRemaining(now).Milliseconds()), Spot: e.Spot(),
+		Version: e.Version(),
 	}
 }
 
@@ -23,6 +24,6 @@
 	return sqplace.NewEndpoint(sqplace.EndpointConfig{
 		ID: l.GetId(), Service: l.GetService(), Address: l.GetAddress(), Zone: l.GetZone(), Slots: int(l.GetSlots()),
 		Draining: l.GetDraining(), Stage: sqplace.Stage(l.GetStage()),
-		ColdUntil: coldUntil, Spot: l.GetSpot(),
+		ColdUntil: coldUntil, Spot: l.GetSpot(), Version: l.GetVersion(),
 	})
 }
