--- a/core/sqplace/version_test.go
+++ b/core/sqplace/version_test.go
@@ -31,7 +31,7 @@
 	p := versionedPlacer(t)
 	remote := 0
 	for i := range 200 {
-		q := engineQuery("subject" + strconv.Itoa(i), 12000, 500)
+		q := engineQuery("subject"+strconv.Itoa(i), 12000, 500)
 		c := p.Choose(start, q)
 		assert.Assert(t, c.Endpoint != nil)
 		if c.PrefillEndpoint == nil {
@@ -48,7 +48,7 @@
 func TestStreamIsTakenUpAtAnotherVersion(t *testing.T) {
 	p := versionedPlacer(t)
 	for i := range 100 {
-		q := engineQuery("s" + strconv.Itoa(i), 12000, 500)
+		q := engineQuery("s"+strconv.Itoa(i), 12000, 500)
 		q.SameVersion, q.Version = true, "v"+strconv.Itoa(i%2)
 		assert.Equal(t, p.Choose(start, q).Endpoint.Version(), q.Version)
 	}
