--- a/app/sqgateway/origin.go
+++ b/app/sqgateway/origin.go
@@ -65,26 +65,29 @@
 	if len(services) == 1 {
 		req.Service = services[0]
 	}
-	for try := 1; ; try++ {
-		o, reason := x.askOrigin(req)
-		if reason == "" || try == originTries || req.GetAttempt() == "" || !sqclock.Sleep(x.ctx, originInterval) {
-			x.g.log.Event(sqevent.StreamTakenUp, x.attempt.ID, x.attempt.ResumedAttempt, o.Service, o.Version, reason)
-			return o, reason
-		}
+	found, err := x.askOrigin(req)
+	switch {
+	case err != nil:
+		reason = "the holder does not say where the stream began: " + err.Error()
+	case found == nil:
+		reason = "it is not known at which version the stream began"
 	}
+	o = sqorigin.Origin{Service: found.GetService(), Version: found.GetVersion()}
+	x.g.log.Event(sqevent.StreamTakenUp, x.attempt.ID, x.attempt.ResumedAttempt, o.Service, o.Version, reason)
+	return o, reason
 }
 
-// askOrigin asks the lease holder where a stream began.
-func (x *request) askOrigin(req *sqrpc.FindOriginRequest) (o sqorigin.Origin, reason string) {
+// askOrigin asks the lease holder where a stream began, which is nil if it does not know.
+func (x *request) askOrigin(req *sqrpc.FindOriginRequest) (*sqrpc.StreamOrigin, error) {
 	client := sqrpc.NewCoordinatorProtobufClient("http://"+x.g.locator.Holder(), x.g.coordinatorClient)
-	res, err := client.FindOrigin(x.ctx, req)
-	switch {
-	case err != nil:
-		return sqorigin.Origin{}, "the holder does not say where the stream began: " + err.Error()
-	case res.GetOrigin() == nil:
-		return sqorigin.Origin{}, "it is not known at which version the stream began"
-	default:
-		return sqorigin.Origin{Service: res.GetOrigin().GetService(), Version: res.GetOrigin().GetVersion()}, ""
+	for try := 1; ; try++ {
+		res, err := client.FindOrigin(x.ctx, req)
+		if err != nil || res.GetOrigin() != nil || req.GetAttempt() == "" || try == originTries {
+			return res.GetOrigin(), err
+		}
+		if !sqclock.Sleep(x.ctx, originInterval) {
+			return nil, x.ctx.Err()
+		}
 	}
 }
 
