The stand-in engine handles orders in the order in which they came

TestUnresponsiveEnginesDelayNoOthers was red once: an engine recorded an order of term 2 after one of term 3. Cause, traced before: the stand-in released all requests that waited while it was paused at once, in any order, where a stopped process reads its connections in turn. Orders are now handled one at a time, as they came.

--- a/standin/sqengine/engine.go
+++ b/standin/sqengine/engine.go
@@ -28,7 +28,9 @@
 	cache        *cache
 	loadReports  []loadReport
 	orders       orderTracker
-	exports      map[string]kvExport
+	// lastArrival closes when the order that came last is handled.
+	lastArrival chan struct{}
+	exports     map[string]kvExport
 	// workArrived closes when a session is queued.
 	workArrived chan struct{}
 	stopped     chan struct{}
--- a/standin/sqengine/http.go
+++ b/standin/sqengine/http.go
@@ -17,7 +17,7 @@
 	r.POST("/v1/cancel", e.waitWhilePaused(e.handleCancel))
 	r.GET("/v1/load", e.waitWhilePaused(e.handleLoad))
 	r.GET("/v1/cacheEvents", e.waitWhilePaused(e.handleCacheEvents))
-	r.POST("/v1/orders", e.waitWhilePaused(e.handleOrder))
+	r.POST("/v1/orders", e.inOrderOfArrival(e.waitWhilePaused(e.handleOrder)))
 	r.GET("/v1/status", e.waitWhilePaused(e.handleStatus))
 	r.POST("/v1/kv/export", e.waitWhilePaused(e.handleKVExport))
 	r.POST("/v1/kv/import", e.waitWhilePaused(e.handleKVImport))
@@ -38,6 +38,23 @@
 	}
 }
 
+// inOrderOfArrival handles one request at a time. After a pause, the requests that waited
+// are handled in the order in which they came, as by a process that was stopped.
+func (e *Engine) inOrderOfArrival(h echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		handled := make(chan struct{})
+		defer close(handled)
+		e.mu.Lock()
+		previous := e.lastArrival
+		e.lastArrival = handled
+		e.mu.Unlock()
+		if previous != nil {
+			<-previous
+		}
+		return h(c)
+	}
+}
+
 type cancelRequest struct {
 	RequestID string `json:"requestId"`
 }
