Gateways report where streams began before the next heartbeat is due; a released trait is no probe

A stream whose gateway is killed before the holder knows where it began cannot be taken up; a stream often lasts no longer than the 0.1 s between heartbeats. A gateway now sends a heartbeat 2.5 ms for each gateway after a stream began, the time that keeps the holder at 400 a second.

Probe counted a request with a trait that had been released meanwhile as the one probe, in place of another's (TestOneProbeAtATime).

--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -114,8 +114,10 @@
 	awaitedTables    chan awaitedTable
 	shuttingDown     atomic.Bool
 	heartbeatTrigger chan struct{}
-	metrics          *gatewayMetrics
-	startedAt        time.Time
+	// heartbeatSoon is true while a heartbeat is scheduled before the next one is due.
+	heartbeatSoon atomic.Bool
+	metrics       *gatewayMetrics
+	startedAt     time.Time
 	// firstViewReceived is closed once the lease holder has sent a routing table and
 	// a list of endpoints; firstViewOnce closes it only once.
 	firstViewReceived chan struct{}
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -38,6 +38,20 @@
 	}
 }
 
+// triggerHeartbeatSoon makes runHeartbeats send a heartbeat before the next one is due. It
+// leaves as much time between such heartbeats as the lease holder needs for those of all
+// gateways.
+func (g *gateway) triggerHeartbeatSoon() {
+	if g.heartbeatSoon.Swap(true) {
+		return
+	}
+	delay := time.Duration(g.view.Load().gatewayCount) * heartbeatIntervalPerGateway
+	time.AfterFunc(delay, func() {
+		g.heartbeatSoon.Store(false)
+		g.triggerHeartbeat()
+	})
+}
+
 // heartbeatInterval returns the time between two heartbeats of a gateway.
 func heartbeatInterval(gatewayCount int) time.Duration {
 	return min(max(time.Duration(gatewayCount)*heartbeatIntervalPerGateway, minHeartbeatInterval), maxHeartbeatInterval)
--- a/app/sqgateway/origin.go
+++ b/app/sqgateway/origin.go
@@ -31,8 +31,10 @@
 		return
 	}
 	x.g.mu.Lock()
-	defer x.g.mu.Unlock()
 	x.g.origins.Record(now, x.attempt.ID, *x.origin)
+	x.g.mu.Unlock()
+	// If this process is killed, only the lease holder can tell where the stream began.
+	x.g.triggerHeartbeatSoon()
 }
 
 // takeUpStream finds out where the stream began that the caller takes up, so that the
--- a/core/sqquarantine/probe.go
+++ b/core/sqquarantine/probe.go
@@ -13,19 +13,21 @@
 }
 
 // Probe reports whether a gateway may send one request with the trait, given the traits
-// that are or were quarantined, and otherwise after which time it is worth another try. It
+// that are or were quarantined (with any other it may), and otherwise after which time it is worth another try. It
 // allows one request at a time over all traits, so that a crash has one cause.
 func (t *Tracker) Probe(now time.Time, trait Trait, entries []Entry) (granted bool, wait time.Duration) {
-	probing := false
+	known, probing := false, false
 	for _, e := range entries {
-		switch {
-		case e.Trait == trait && e.Active:
+		if e.Trait == trait && e.Active {
 			return false, e.EndedAt.Sub(now)
-		case e.Trait == t.probe.trait:
-			probing = !e.Active && now.Sub(t.probe.grantedAt) < probeTime
 		}
+		known = known || e.Trait == trait
+		probing = probing || e.Trait == t.probe.trait && !e.Active && now.Sub(t.probe.grantedAt) < probeTime
 	}
-	if probing {
+	switch {
+	case !known:
+		return true, 0
+	case probing:
 		return false, probeTime - now.Sub(t.probe.grantedAt)
 	}
 	t.probe = probe{trait: trait, grantedAt: now}
