--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -123,3 +123,32 @@
 	}
 	return list
 }
+
+// sendEvery sends a request each interval, whether earlier ones have been answered or not.
+// At most so many clients are busy at once as the rate needs.
+func (g *clients) sendEvery(ctx context.Context, interval time.Duration, path string, deadline time.Duration) {
+	free := make(chan *client, 64)
+	for range cap(free) {
+		free <- g.newClient()
+	}
+	var wg sync.WaitGroup
+	for tick := time.NewTicker(interval); ctx.Err() == nil; <-tick.C {
+		c := <-free
+		wg.Go(func() {
+			c.send(context.Background(), path, "question", deadline)
+			free <- c
+		})
+	}
+	wg.Wait()
+}
+
+// servedShare returns the share of the answers that are complete successes.
+func servedShare(answers []answer) float64 {
+	served := 0
+	for _, a := range answers {
+		if a.status == http.StatusOK && a.complete {
+			served++
+		}
+	}
+	return float64(served) / float64(max(1, len(answers)))
+}
--- a/review/standin/removal.go
+++ b/review/standin/removal.go
@@ -24,6 +24,8 @@
 	diskDownTime = 1500 * time.Millisecond
 	// readBackTime is how long the operator asks for the manifest at the end.
 	readBackTime = 6 * time.Second
+	// servedTime is the time before the end whose requests are counted.
+	servedTime = 3 * time.Second
 )
 
 // playRemoval has four machines of the core, three of which are the members of the group.
@@ -71,12 +73,12 @@
 	back := time.Now()
 	l.record("all machines are back")
 	time.Sleep(recoveryTime)
-	begin := time.Now()
 	version := l.readBack(readBackTime)
+	last := group.between(time.Now().Add(-servedTime), time.Now())
 	stop()
 	wg.Wait()
-	l.record("%v after all machines are back the operator reads version %d; of %d requests since then %.3f are served",
-		time.Since(back).Round(time.Second), version, len(group.between(begin, time.Now())), servedShare(group.between(begin, time.Now())))
+	l.record("%v after all machines are back the operator reads version %d; of the last %d requests %.3f are served",
+		time.Since(back).Round(time.Second), version, len(last), servedShare(last))
 	if version < newManifest().Version {
 		l.record("CONFIG: the manifest that was acknowledged cannot be read back")
 		return 1, nil
--- a/review/standin/unreadable.go
+++ b/review/standin/unreadable.go
@@ -77,13 +77,3 @@
 	}
 	return 0, nil
 }
-
-func servedShare(answers []answer) float64 {
-	served := 0
-	for _, a := range answers {
-		if a.status == http.StatusOK && a.complete {
-			served++
-		}
-	}
-	return float64(served) / float64(max(1, len(answers)))
-}
