--- a/review/standin/lab.go
+++ b/review/1/standin/lab.go
@@ -71,13 +71,13 @@
 }
 
 // projectRoot returns the folder of the project, which holds this program's folder
-// review/bin.
+// review/1/bin.
 func projectRoot() string {
 	program, err := os.Executable()
 	if err != nil {
 		return "."
 	}
-	return filepath.Join(filepath.Dir(program), "..", "..")
+	return filepath.Join(filepath.Dir(program), "..", "..", "..")
 }
 
 func (l *lab) address(host, port int) string {
--- a/review/standin/main.go
+++ b/review/1/standin/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of the program.
@@ -40,6 +42,13 @@
 		return exitNotRun
 	}
 	defer l.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		l.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[args[0]](l)
 	switch {
 	case err != nil:
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Plays the case once; see claim.txt. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
-test -x ../bin/lab || { echo "run ../build.sh first" >&2; exit 2; }
-exec ../bin/lab hangup record.txt
+test -x ../1/bin/lab || { echo "run ../build.sh first" >&2; exit 2; }
+exec ../1/bin/lab hangup record.txt
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Builds the program that plays the scripted cases into review/bin. It uses the
+# Builds the program that plays the scripted cases into review/1/bin. It uses the
 # standard library only.
 set -eu
-cd "$(dirname "$0")/standin"
+cd "$(dirname "$0")/1/standin"
 mkdir -p ../bin
 GOWORK=off GOFLAGS=-mod=mod go build -o ../bin/lab .
