--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -126,3 +126,8 @@
 	return &fakeLeaseHolder{freshFor: 4 * time.Second, table: testTable(3), version: 3, revision: 1, fleet: fleet,
 		origins: map[string]*sqrpc.StreamOrigin{}}
 }
+
+// GrantQuota implements sqrpc.Coordinator.
+func (h *fakeLeaseHolder) GrantQuota(context.Context, *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
+	return &sqrpc.GrantQuotaResponse{Granted: true}, nil
+}
--- a/io/sqsettings/coordinator.go
+++ b/io/sqsettings/coordinator.go
@@ -69,6 +69,8 @@
 	zone            string
 	region          string
 	internalAddress string
+	vm              VM
+	contracts       []string
 }
 
 // Name returns the name of the process, unique in the deployment.
@@ -83,6 +85,34 @@
 // InternalAddress returns the "ip:port" that serves other processes and metrics.
 func (n MemberNode) InternalAddress() string { return n.internalAddress }
 
+// VM returns the resources of the VM that the process may use.
+func (n MemberNode) VM() VM { return n.vm }
+
+// Contracts returns the names of the optional parts of the platform's protocol that are in
+// force.
+func (n MemberNode) Contracts() []string { return n.contracts }
+
+// VM holds the resources of a VM that a process may use.
+type VM struct {
+	memoryBytes    int64
+	linkMegabits   float64
+	processorShare float64
+	maxDescriptors int
+}
+
+// MemoryBytes returns the memory that the process may use.
+func (v VM) MemoryBytes() int64 { return v.memoryBytes }
+
+// LinkMegabits returns the bandwidth of the VM's link, in megabits per second, or 0 if it is
+// not configured.
+func (v VM) LinkMegabits() float64 { return v.linkMegabits }
+
+// ProcessorShare returns the share of a core that the VM has, or 0 if it is not configured.
+func (v VM) ProcessorShare() float64 { return v.processorShare }
+
+// MaxDescriptors returns how many descriptors the process may have open.
+func (v VM) MaxDescriptors() int { return v.maxDescriptors }
+
 // Cluster tells how a process finds the coordinators.
 type Cluster struct {
 	seeds  []string
@@ -107,6 +137,9 @@
 	retryRatio        float64
 	extraRetries      float64
 	retryWindow       time.Duration
+	quotaWindow       time.Duration
+	quotaOverrun      float64
+	quotaSlack        float64
 }
 
 // RevocationTimeout returns the time within which a withdrawn key stops working.
@@ -143,3 +176,14 @@
 
 // RetryWindow returns the time over which RetryRatio and ExtraRetries are counted.
 func (b Bounds) RetryWindow() time.Duration { return b.retryWindow }
+
+// QuotaWindow returns the time over which the platform checks teams' quotas.
+func (b Bounds) QuotaWindow() time.Duration { return b.quotaWindow }
+
+// QuotaOverrun returns the fraction of a quota by which all gateways together may exceed it
+// within QuotaWindow.
+func (b Bounds) QuotaOverrun() float64 { return b.quotaOverrun }
+
+// QuotaSlack returns how many units all gateways together may use within QuotaWindow beyond
+// that.
+func (b Bounds) QuotaSlack() float64 { return b.quotaSlack }
--- a/io/sqsettings/coordinatorfile.go
+++ b/io/sqsettings/coordinatorfile.go
@@ -12,6 +12,13 @@
 	Zone     string `toml:"zone"`
 	Region   string `toml:"region"`
 	Internal string `toml:"internal"`
+	// The resources of the VM that the process may use.
+	MemoryMegabytes int64   `toml:"memoryMegabytes"`
+	LinkMegabits    float64 `toml:"linkMegabits"`
+	ProcessorShare  float64 `toml:"processorShare"`
+	MaxDescriptors  int64   `toml:"maxDescriptors"`
+	// Contracts names the optional parts of the platform's protocol that are in force.
+	Contracts []string `toml:"contracts"`
 }
 
 // memberClusterFile is the [cluster] table of coordinator.toml and gateway.toml.
@@ -33,6 +40,9 @@
 	RetryRatio         float64 `toml:"retryRatio"`
 	RetryExtra         float64 `toml:"retryExtra"`
 	RetryWindowSeconds float64 `toml:"retryWindowSeconds"`
+	QuotaWindowSeconds float64 `toml:"quotaWindowSeconds"`
+	QuotaOverrun       float64 `toml:"quotaOverrun"`
+	QuotaSlack         float64 `toml:"quotaSlack"`
 }
 
 // coordinatorFile is the decoded content of coordinator.toml.
@@ -75,6 +85,13 @@
 	defaultRetryRatio        = 0.1
 	defaultExtraRetries      = 0
 	defaultRetryWindow       = 10 * time.Second
+	defaultQuotaWindow       = 10 * time.Second
+	defaultQuotaOverrun      = 0.0
+	defaultQuotaSlack        = 0.0
+	defaultMemoryMegabytes   = 128
+	maxMemoryMegabytes       = 1 << 20
+	defaultMaxDescriptors    = 4096
+	maxMaxDescriptors        = 1 << 24
 )
 
 func (f *coordinatorFile) toCoordinator(c *checker) *Coordinator {
@@ -106,6 +123,13 @@
 		zone:            c.required("node.zone", f.Zone, `zone = "zoneA"`),
 		region:          f.Region,
 		internalAddress: c.address("node.internal", f.Internal),
+		vm: VM{
+			memoryBytes:    c.count("node.memoryMegabytes", f.MemoryMegabytes, defaultMemoryMegabytes, maxMemoryMegabytes) << 20,
+			linkMegabits:   c.nonNegative("node.linkMegabits", f.LinkMegabits, 0),
+			processorShare: c.nonNegative("node.processorShare", f.ProcessorShare, 0),
+			maxDescriptors: int(c.count("node.maxDescriptors", f.MaxDescriptors, defaultMaxDescriptors, maxMaxDescriptors)),
+		},
+		contracts: f.Contracts,
 	}
 }
 
@@ -140,6 +164,9 @@
 		retryRatio:        c.nonNegative("bounds.retryRatio", b.RetryRatio, defaultRetryRatio),
 		extraRetries:      c.nonNegative("bounds.retryExtra", b.RetryExtra, defaultExtraRetries),
 		retryWindow:       c.seconds("bounds.retryWindowSeconds", b.RetryWindowSeconds, defaultRetryWindow),
+		quotaWindow:       c.seconds("bounds.quotaWindowSeconds", b.QuotaWindowSeconds, defaultQuotaWindow),
+		quotaOverrun:      c.nonNegative("bounds.quotaOverrun", b.QuotaOverrun, defaultQuotaOverrun),
+		quotaSlack:        c.nonNegative("bounds.quotaSlack", b.QuotaSlack, defaultQuotaSlack),
 	}
 }
 
