--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -53,9 +53,14 @@
 	target := s.target + s.replacements(svc)
 	targetPerZone := min((target+len(zones)-1)/len(zones), svc.Scaling.MaxPerZone)
 	shortage := s.shortagePerZone(svc, len(zones))
+	standIns := map[string]int{}
+	if svc.ReplacesReclaimed {
+		standIns = s.standIns(now, svc, zones)
+	}
 	var orders []Order
 	for _, zone := range zones {
-		for _, o := range s.zoneOrders(svc, zone, targetPerZone, s.minOnDemandPerZone(svc, len(zones)), shortage) {
+		minOnDemand := s.minOnDemandPerZone(svc, len(zones)) + standIns[zone]
+		for _, o := range s.zoneOrders(svc, zone, targetPerZone, minOnDemand, shortage) {
 			if s.needsSending(now, o) {
 				orders = append(orders, o)
 			}
@@ -132,6 +137,9 @@
 
 // minOnDemandPerZone returns the minimum number of on-demand endpoints of each zone.
 func (s *serviceState) minOnDemandPerZone(svc *Service, zones int) int {
+	if svc.ReplacesReclaimed {
+		return svc.Scaling.MinPerZone
+	}
 	return max(svc.Scaling.MinPerZone, s.initialEndpoints*minOnDemandPercent/100/zones)
 }
 
--- /dev/null
+++ b/core/sqcapacity/reclaim.go
@@ -0,0 +1,83 @@
+package sqcapacity
+
+import "time"
+
+const (
+	// maxLostZones is how many zones may lose their spot endpoints at the same time while the
+	// others still carry the load.
+	maxLostZones = 2
+	// zoneRecoveryTime is how long a zone must have its spot endpoints back before the
+	// on-demand endpoints that stand in for them are released: new engines have empty caches.
+	zoneRecoveryTime = 5 * time.Second
+)
+
+// zoneSpots is what a planner remembers of the spot endpoints of one zone.
+type zoneSpots struct {
+	// most is the highest number that was listed since the last loss.
+	most int
+	lost bool
+	// backSince is since when a lost zone has its spot endpoints back.
+	backSince time.Time
+}
+
+// observe updates the state of a zone that lists so many spot endpoints, of which ordered
+// ones shall run. A zone has lost its spot endpoints if fewer than half are left.
+func (z *zoneSpots) observe(now time.Time, listed, ordered int) {
+	switch {
+	case listed*2 < z.most:
+		z.lost, z.backSince = true, time.Time{}
+	case z.lost && listed*2 >= ordered:
+		if z.backSince.IsZero() {
+			z.backSince = now
+		}
+		if now.Sub(z.backSince) >= zoneRecoveryTime {
+			*z = zoneSpots{}
+		}
+	case z.lost:
+		z.backSince = time.Time{}
+	}
+	if !z.lost {
+		z.most = max(z.most, listed)
+	}
+}
+
+// standIns returns how many on-demand endpoints each zone that has lost its spot
+// endpoints runs in their place, by zone. Once a zone is lost, another one may be lost within the time in
+// which an endpoint starts. So there are as many that the service keeps its initial number
+// of endpoints even if the zone with the most spot endpoints is lost next.
+func (s *serviceState) standIns(now time.Time, svc *Service, zones []string) map[string]int {
+	var lost []string
+	remaining, most := 0, 0
+	for _, zone := range zones {
+		spots := s.spotsOf(zone)
+		listed := countEndpoints(svc.Endpoints, zone).spot
+		spots.observe(now, listed, s.lastOrders[orderKey{zone, true}].count)
+		remaining += listed + svc.Scaling.MinPerZone
+		if spots.lost {
+			lost = append(lost, zone)
+			continue
+		}
+		most = max(most, listed)
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	if len(lost) < maxLostZones {
+		remaining -= most
+	}
+	missing := max(0, s.initialEndpoints-remaining)
+	standIns := make(map[string]int, len(lost))
+	for _, zone := range lost {
+		standIns[zone] = (missing + len(lost) - 1) / len(lost)
+	}
+	return standIns
+}
+
+func (s *serviceState) spotsOf(zone string) *zoneSpots {
+	z := s.spots[zone]
+	if z == nil {
+		z = &zoneSpots{}
+		s.spots[zone] = z
+	}
+	return z
+}
--- a/core/sqcapacity/sqcapacity.go
+++ b/core/sqcapacity/sqcapacity.go
@@ -33,6 +33,9 @@
 	// InitialEndpoints is the number of endpoints before any were ordered, as recorded by an
 	// earlier lease holder; 0 if none recorded it.
 	InitialEndpoints int
+	// ReplacesReclaimed is set if on-demand endpoints run in place of reclaimed spot
+	// endpoints only while they are needed, instead of as a constant reserve.
+	ReplacesReclaimed bool
 }
 
 // Order sets the number of spot or on-demand endpoints of a service in a zone.
@@ -72,6 +75,8 @@
 	lastOrders map[orderKey]lastOrder
 	// stageChangedAt is when the last stage change was planned, by engine identity.
 	stageChangedAt map[string]time.Time
+	// spots holds the state of the spot endpoints of each zone.
+	spots map[string]*zoneSpots
 }
 
 type orderKey struct {
@@ -102,7 +107,7 @@
 func (p *Planner) service(name string) *serviceState {
 	s := p.services[name]
 	if s == nil {
-		s = &serviceState{lastOrders: map[orderKey]lastOrder{}, stageChangedAt: map[string]time.Time{}}
+		s = &serviceState{lastOrders: map[orderKey]lastOrder{}, stageChangedAt: map[string]time.Time{}, spots: map[string]*zoneSpots{}}
 		p.services[name] = s
 	}
 	return s
