Callers are directed to gateways by the size of their VMs, and past those close to a limit

Cause: gateways' VMs differ by up to 3.3 times, and callers pick any listed gateway with equal probability.

Change: core/sqdirectory decides. A gateway's weight is the scarcest of its memory, link and processor share relative to the smallest VM; answers to callers repeat addresses in proportion to the weights. A gateway measures what it uses once a second (io/sqmeter) and sends it with its heartbeats. The lease holder marks gateways close to a limit as overloaded, with hysteresis, for at most a third of a zone and only while the others have room; they are left out of the answers. With equal weights answers are as before. A gateway whose settings name neither link nor processor share measures and sends nothing.

--- a/app/sqcoordinator/gateways.go
+++ b/app/sqcoordinator/gateways.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sequoiadock/core/sqdirectory"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqrpc"
@@ -41,6 +42,8 @@
 	number, includedBeat uint64
 	// demand is cumulative since the gateway started, by service.
 	demand map[string]*sqrpc.ServiceDemand
+	// utilization is how much of its VM the gateway uses.
+	utilization sqdirectory.Utilization
 }
 
 // inFlight is the work that is in flight at an endpoint.
@@ -71,6 +74,8 @@
 	// directory has to be made anew before that is due.
 	checkedAt time.Time
 	changed   bool
+	// overloads says which gateways callers are not directed to for a while.
+	overloads *sqdirectory.Overloads
 	// loadSum is the encoded sum of the loads as of loadSumAt.
 	loadSum   []byte
 	loadSumAt time.Time
@@ -78,7 +83,7 @@
 
 func newGatewayRegistry(log *sqlog.Log, term uint64) *gatewayRegistry {
 	return &gatewayRegistry{
-		log: log, byName: map[string]*gateway{}, inFlight: map[string]*inFlightSum{}, directoryRevision: term << counterBits, changed: true,
+		log: log, byName: map[string]*gateway{}, inFlight: map[string]*inFlightSum{}, directoryRevision: term << counterBits, changed: true, overloads: sqdirectory.NewOverloads(),
 	}
 }
 
@@ -93,7 +98,7 @@
 		r.changed = true
 	}
 	gw.leaving, gw.lastBeatAt = req.GetLeaving(), now
-	gw.address = &sqrpc.GatewayAddress{Address: req.GetAddress(), Zone: req.GetZone(), Region: req.GetRegion()}
+	gw.address, gw.utilization = r.newAddress(req), toUtilization(req.GetUtilization())
 	gw.number = req.GetNumber()
 	r.uncount(gw)
 	gw.inFlight = make(map[string]inFlight, len(req.GetLoads()))
@@ -161,19 +166,24 @@
 		return
 	}
 	r.checkedAt, r.changed = now, false
-	var directory []*sqrpc.GatewayAddress
+	var listed []string
 	for name, gw := range r.byName {
 		silence := now.Sub(gw.lastBeatAt)
 		if silence > gatewayListedTimeout {
 			r.uncount(gw)
 		} else if !gw.leaving {
-			directory = append(directory, gw.address)
+			listed = append(listed, name)
 		}
 		if silence > gatewayLostTimeout {
 			r.log.Event(sqevent.GatewayLost, name)
 			delete(r.byName, name)
 		}
 	}
+	r.updateOverloads(now, listed)
+	directory := make([]*sqrpc.GatewayAddress, 0, len(listed))
+	for _, name := range listed {
+		directory = append(directory, r.byName[name].address)
+	}
 	slices.SortFunc(directory, func(a, b *sqrpc.GatewayAddress) int { return strings.Compare(a.GetAddress(), b.GetAddress()) })
 	if !slices.EqualFunc(directory, r.directory, sameAddress) {
 		r.directory = directory
@@ -182,7 +192,8 @@
 }
 
 func sameAddress(a, b *sqrpc.GatewayAddress) bool {
-	return a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetRegion() == b.GetRegion()
+	return a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetRegion() == b.GetRegion() &&
+		a.GetWeight() == b.GetWeight() && a.GetOverloaded() == b.GetOverloaded()
 }
 
 // encodedLoadSum returns the sum of the loads of all gateways, and the number of the
--- a/app/sqcoordinator/metrics.go
+++ b/app/sqcoordinator/metrics.go
@@ -27,6 +27,18 @@
 	c.metrics.NewGauge("sequoiadock_coordinator_limited_endpoints", func() float64 {
 		return c.termGauge(func(_ time.Time, t *termState) float64 { return float64(len(t.limits.Limits())) })
 	})
+	c.metrics.NewGauge("sequoiadock_coordinator_overloaded_gateways", func() float64 {
+		return c.termGauge(func(_ time.Time, t *termState) float64 {
+			overloaded, _ := t.gateways.overloads.Count()
+			return float64(overloaded)
+		})
+	})
+	c.metrics.NewGauge("sequoiadock_coordinator_left_out_gateways", func() float64 {
+		return c.termGauge(func(_ time.Time, t *termState) float64 {
+			_, leftOut := t.gateways.overloads.Count()
+			return float64(leftOut)
+		})
+	})
 	c.metrics.NewGauge("sequoiadock_coordinator_list_age_seconds", func() float64 {
 		return c.termGauge(func(now time.Time, t *termState) float64 { return t.listAge(now).Seconds() })
 	})
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/labstack/echo/v4"
 
 	sqcore "sequoiadock/core"
+	"sequoiadock/core/sqdirectory"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqfreshness"
 	"sequoiadock/core/sqorigin"
@@ -98,6 +99,8 @@
 	// addresses. ReadyHandler returns the handler of the platform's readiness probe.
 	DirectoryHandler func(d sqcore.Directory) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
+	// VM holds the resources of the gateway's VM.
+	VM sqdirectory.VM
 	// SeedUpdates delivers the new seeds when the settings change.
 	SeedUpdates <-chan []string
 	Log         *sqlog.Log
@@ -123,6 +126,7 @@
 	// heartbeatSoon is true while a heartbeat is scheduled before the next one is due.
 	heartbeatSoon atomic.Bool
 	metrics       *gatewayMetrics
+	utilization   *utilization
 	startedAt     time.Time
 	// firstViewReceived is closed once the lease holder has sent a routing table and
 	// a list of endpoints; firstViewOnce closes it only once.
@@ -178,6 +182,8 @@
 		demandByService:   map[string]*demand{},
 		origins:           sqorigin.NewLog(maxOrigins),
 	}
+	g.utilization = newUtilization(cfg.VM)
+	g.pool.CountTraffic(g.utilization.traffic)
 	g.startedAt = sqclock.Now()
 	g.view.Store(&view{lastHeardAt: g.startedAt})
 	g.metrics = newGatewayMetrics(g)
@@ -209,6 +215,7 @@
 		{Handler: g.cfg.DirectoryHandler(g), ReadHeaderTimeout: headerTimeout},
 		{Handler: g.internalHandler(), ReadHeaderTimeout: headerTimeout},
 	}
+	listeners[0] = g.utilization.wrap(listeners[0])
 	serveErrs := make(chan error, len(servers))
 	for i, ln := range listeners {
 		go func() { serveErrs <- servers[i].Serve(ln) }()
@@ -216,7 +223,7 @@
 	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){g.runHeartbeats, g.fetchTables, g.sweepConnections, g.applySeedUpdates} {
+	for _, loop := range []func(context.Context){g.runHeartbeats, g.fetchTables, g.sweepConnections, g.applySeedUpdates, g.utilization.measure} {
 		loops.Go(func() { loop(loopCtx) })
 	}
 	g.log.Event(sqevent.Started, roleName, g.cfg.Name, g.cfg.Zone, g.cfg.CallerAddress)
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -40,6 +40,7 @@
 	set.NewGauge("sequoiadock_gateway_running", func() float64 { return float64(m.running.Load()) })
 	set.NewGauge("sequoiadock_gateway_response_bytes", func() float64 { return float64(g.responseMemory.UsedBytes()) })
 	set.NewGauge("sequoiadock_gateway_connections", func() float64 { return float64(g.pool.OpenConnections()) })
+	g.utilization.register(set)
 	set.NewGauge("sequoiadock_gateway_version", func() float64 {
 		if t := g.view.Load().table; t != nil {
 			return float64(t.Version())
--- a/app/sqgateway/view.go
+++ b/app/sqgateway/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sequoiadock/core/sqdirectory"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqlisting"
 	"sequoiadock/core/sqplace"
@@ -29,9 +30,9 @@
 	fleet []sqplace.Endpoint
 	// endpointIDs contains the IDs of all listed endpoints.
 	endpointIDs map[string]bool
-	// gateways are those to which callers may be directed, directoryRevision the revision
-	// of that list.
-	gateways          []*sqrpc.GatewayAddress
+	// directory holds the gateways to which callers may be directed, directoryRevision is
+	// the revision of that list.
+	directory         []sqdirectory.Gateway
 	directoryRevision uint64
 	// gatewayCount is the number of gateways that share limits; 0 while unknown.
 	gatewayCount int
@@ -103,7 +104,7 @@
 	}
 	v.lastHeardAt = receivedAt
 	if r := res.GetDirectoryRevision(); r == 0 || r != v.directoryRevision {
-		v.gateways, v.directoryRevision = res.GetGateways(), r
+		v.directory, v.directoryRevision = toDirectory(res.GetGateways()), r
 	}
 	v.clockOffset = time.Duration(res.GetTrueUnixNano() - sentAt.Add(receivedAt.Sub(sentAt)/2).UnixNano())
 	v.beatingGateways = int(res.GetBeatingGateways())
--- a/app/sqprocess/members.go
+++ b/app/sqprocess/members.go
@@ -8,6 +8,7 @@
 	"sequoiadock/app/sqcoordinator"
 	"sequoiadock/app/sqgateway"
 	sqcore "sequoiadock/core"
+	"sequoiadock/core/sqdirectory"
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/io/sqclock"
@@ -70,6 +71,7 @@
 		Seeds:         settings.Cluster().Seeds(),
 		Retry:         sqretry.Config{Ratio: b.RetryRatio(), ExtraRetries: b.ExtraRetries(), Window: b.RetryWindow()},
 		BillingWindow: b.BillingWindow(), StopGracePeriod: b.StopGracePeriod(), TableApplyTimeout: b.TableApplyTimeout(), DrainTimeout: b.DrainTimeout(), Wire: sqadapter.Wire{},
+		VM:               sqdirectory.VM{MemoryBytes: n.VM().MemoryBytes(), LinkMegabits: n.VM().LinkMegabits(), ProcessorShare: n.VM().ProcessorShare()},
 		DirectoryHandler: sqadapter.DirectoryHandler, ReadyHandler: sqadapter.ReadyHandler,
 		SeedUpdates: watchSettings(ctx, settingsWatch{log: log, role: "gateway", file: p.file, hup: p.hup, readSeeds: func() ([]string, []*sqerror.Error) {
 			s, faults := sqsettings.ReadGateway(p.file)
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -31,6 +31,8 @@
 	CallWithheld               = Event{5027, Warn, "call to the platform or an engine not sent, the lease does not cover it", []string{"term", "leaseLeftMillis"}}
 	WatchdogUnavailable        = Event{5028, Warn, "the kernel has no timer that ends this process if it is paused during a call", []string{"error"}}
 	ProbeDecided               = Event{5025, Info, "gateway asked for one request with a trait whose quarantine has ended", []string{"kind", "service", "trait", "gateway", "granted", "waitMillis"}}
+	GatewayOverloaded          = Event{5050, Warn, "gateway is close to a limit of its VM", []string{"gateway", "zone", "memoryPercent", "linkPercent", "processorPercent", "leftOut"}}
+	GatewayRecovered           = Event{5051, Info, "gateway is no longer close to a limit of its VM", []string{"gateway", "zone", "memoryPercent", "linkPercent", "processorPercent"}}
 	StageRefused               = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
 
@@ -39,4 +41,5 @@
 	GatewayFound, GatewayLeaving, GatewayLost, EndpointListChanged, EndpointListFailed, EndpointListRecovered,
 	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, TraitQuarantined, TraitReleased,
 	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten, ProbeDecided, HolderCallsWait, CallWithheld, WatchdogUnavailable, BeatNotEncoded,
+	GatewayOverloaded, GatewayRecovered,
 }
--- a/io/sqlink/conn.go
+++ b/io/sqlink/conn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"sequoiadock/core/sqerror"
+	"sequoiadock/io/sqmeter"
 )
 
 const (
@@ -38,6 +39,7 @@
 // conn is one connection to an endpoint.
 type conn struct {
 	nc      net.Conn
+	traffic *sqmeter.Traffic
 	limiter *headerLimiter
 	br      *bufio.Reader
 	// canceled is set once the context of the call ended.
@@ -51,6 +53,7 @@
 // headerLimiter reads from a connection and limits the size of response headers.
 type headerLimiter struct {
 	nc        net.Conn
+	traffic   *sqmeter.Traffic
 	remaining int64
 }
 
@@ -64,12 +67,13 @@
 	}
 	n, err := l.nc.Read(b)
 	l.remaining -= int64(n)
+	l.traffic.AddRead(n)
 	return n, err
 }
 
-func newConn(nc net.Conn) *conn {
-	limiter := &headerLimiter{nc: nc, remaining: math.MaxInt64}
-	return &conn{nc: nc, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes)}
+func newConn(nc net.Conn, traffic *sqmeter.Traffic) *conn {
+	limiter := &headerLimiter{nc: nc, traffic: traffic, remaining: math.MaxInt64}
+	return &conn{nc: nc, traffic: traffic, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 func (c *conn) cancel() {
@@ -103,6 +107,7 @@
 	writeResult := make(chan error, 1)
 	if len(call.Body) <= maxInlineBytes {
 		n, err := c.nc.Write(append(header, call.Body...))
+		c.traffic.AddWritten(n)
 		if err != nil && n == 0 {
 			return nil, sqerror.New(sqerror.Config{
 				Kind: sqerror.Unreachable, Execution: sqerror.NotRun, Detail: "the connection was closed before the request", Cause: err,
@@ -112,7 +117,8 @@
 	} else {
 		go func() {
 			buffers := net.Buffers{header, call.Body}
-			_, err := buffers.WriteTo(c.nc)
+			n, err := buffers.WriteTo(c.nc)
+			c.traffic.AddWritten(int(n))
 			writeResult <- err
 		}()
 	}
--- a/io/sqlink/sqlink.go
+++ b/io/sqlink/sqlink.go
@@ -17,6 +17,7 @@
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqmeter"
 )
 
 const (
@@ -79,7 +80,8 @@
 
 // Pool holds the connections to endpoints. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer  net.Dialer
+	traffic *sqmeter.Traffic
 
 	mu         sync.Mutex
 	byEndpoint map[string]*endpointConns
@@ -105,6 +107,10 @@
 	}
 }
 
+// CountTraffic makes the pool count the bytes of its connections. It must be called before
+// the first call.
+func (p *Pool) CountTraffic(t *sqmeter.Traffic) { p.traffic = t }
+
 // Do sends a call and returns its response once the headers are read. The caller
 // must close the response. The kind of an error is Unreachable with execution NotRun
 // if nothing was sent, Overloaded if all connections are in use or Allowed returned false, BadResponse if the
@@ -191,7 +197,7 @@
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
 		})
 	}
-	return newConn(nc), nil
+	return newConn(nc, p.traffic), nil
 }
 
 // Refuses reports whether no process listens at the address. It opens a connection
