Of equal endpoints, requests choose one to which the gateway has an open connection

Cause: a new connection costs an endpoint 1 ms and may hold a slot, and with many gateways and few endpoints most connections are idle too long to be reused.

Change: the pool tells the placer which endpoints have an idle connection and until when the endpoint's idle timeout lets it be used. Of the random increase of costs, endpoints with one get the lower half, the others the upper half and the measured time of a new connection (core/sqplace/connection.go). It takes effect for services for which the routing table limits the connections. Two metrics, docs/design/connections.md.

--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -38,6 +38,7 @@
 		return x.connectionFailure(err), false
 	}
 	defer reply.Close()
+	x.g.recordConnection(x.service, reply)
 	response := x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header())
 	x.g.recordReports(sentAt, e, reply, response)
 	switch {
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -15,8 +15,8 @@
 	running atomic.Int64
 
 	answered, refused, failed, disconnected, resends, closeFramed, quarantined *metrics.Counter
-	leavingEndpoints, endpointRefusals, staleListRefusals                      *metrics.Counter
-	firstEventSeconds, requestSeconds, tableSeconds                            *metrics.Histogram
+	leavingEndpoints, endpointRefusals, staleListRefusals, reusedConnections   *metrics.Counter
+	firstEventSeconds, requestSeconds, tableSeconds, connectSeconds            *metrics.Histogram
 }
 
 func newGatewayMetrics(g *gateway) *gatewayMetrics {
@@ -33,6 +33,8 @@
 		leavingEndpoints:  set.NewCounter("sequoiadock_gateway_leaving_endpoints"),
 		endpointRefusals:  set.NewCounter("sequoiadock_gateway_endpoint_refusals"),
 		staleListRefusals: set.NewCounter("sequoiadock_gateway_stale_list_refusals"),
+		reusedConnections: set.NewCounter("sequoiadock_gateway_reused_connections"),
+		connectSeconds:    set.NewHistogram("sequoiadock_gateway_connect_seconds"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
 		tableSeconds:      set.NewHistogram("sequoiadock_gateway_table_seconds"),
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -47,6 +47,7 @@
 		return "", x.connectionFailure(err).reached, err
 	}
 	defer reply.Close()
+	x.g.recordConnection(x.service, reply)
 	x.g.recordReports(sentAt, e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
 	body, err := io.ReadAll(io.LimitReader(reply, maxReadBytes+1))
 	if err != nil {
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -51,6 +51,7 @@
 func (x *request) choose(now time.Time) sqplace.Choice {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	x.g.updateConnections()
 	choice := x.g.placer.Choose(now, x.query(now))
 	d := x.g.demandFor(x.service)
 	if choice.Endpoint == nil {
@@ -70,6 +71,7 @@
 func (x *request) chooseDecode(now time.Time, prefiller *sqplace.Endpoint) sqplace.Choice {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	x.g.updateConnections()
 	q := x.query(now)
 	q.SameVersion, q.Version = true, prefiller.Version()
 	return x.g.placer.ChooseDecode(now, q)
@@ -88,6 +90,7 @@
 		Service: x.service, Prompt: x.attempt.Prompt, Urgent: x.urgent, TimeLeft: x.firstEventTimeLeft(now),
 		Tried: x.triedEndpoints, NoRemotePrefill: x.noRemotePrefill || x.stream != nil,
 	}
+	x.countConnections(q)
 	if x.origin != nil {
 		q.SameVersion, q.Version = true, x.origin.Version
 	}
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -99,7 +99,7 @@
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
-		cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached)
+		cost := p.spread(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached)
 		if best.choice.Endpoint == nil || cost < best.cost {
 			best = scoredChoice{cost: cost, choice: Choice{
 				Endpoint: n.endpointCopy(), ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time",
@@ -168,7 +168,7 @@
 	for _, n := range prefillNodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
-		if cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached); prefiller == nil || cost < prefillCost {
+		if cost := p.spread(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached); prefiller == nil || cost < prefillCost {
 			prefiller, prefillCost, prefillLatency, prefillUncached = n, cost, latency, uncached
 		}
 	}
@@ -193,7 +193,7 @@
 	var best scoredChoice
 	for _, n := range nodes {
 		latency := s.slotWait(now, n) + s.prefillWait(r, n)/4
-		cost := p.jitter(latency + p.penalty(now, n) + time.Duration(n.running(now))*time.Millisecond)
+		cost := p.spread(now, s, r, n, latency+p.penalty(now, n)+time.Duration(n.running(now))*time.Millisecond)
 		if best.choice.Endpoint == nil || cost < best.cost {
 			best = scoredChoice{cost: cost, choice: Choice{Endpoint: n.endpointCopy(), ExpectedLatency: latency}}
 		}
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -39,6 +39,8 @@
 	leaving bool
 	// refusesUntil is until when the endpoint wants no requests of this gateway.
 	refusesUntil time.Time
+	// connection is the most recently used idle connection to the endpoint.
+	connection Connection
 	// list is the age of the list of endpoints.
 	list *listAge
 }
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -149,6 +149,11 @@
 	// one of that version has begun to work on it.
 	SameVersion bool
 	Version     string
+	// CountConnections is set if endpoints to which the gateway has an idle connection are
+	// preferred among equal ones, MaxIdle limits how long it may have been idle. 0 sets no
+	// bound.
+	CountConnections bool
+	MaxIdle          time.Duration
 }
 
 // allows reports whether the version of the endpoint may get the request.
@@ -217,8 +222,9 @@
 type pool struct {
 	nodes  []*node
 	engine *sqtable.Engine
-	// meanDuration is the moving average of the duration of a request.
-	meanDuration time.Duration
+	// meanDuration is the moving average of the duration of a request, connectTime that of
+	// the time to open a connection.
+	meanDuration, connectTime time.Duration
 	// latencyRatio corrects the estimated prefill times, by stage. It is the moving
 	// average of the observed over the uncorrected time to the first token.
 	latencyRatio [stageCount]float64
@@ -282,7 +288,7 @@
 func (p *Placer) pool(service string) *pool {
 	s := p.services[service]
 	if s == nil {
-		s = &pool{meanDuration: initialDuration, latencyRatio: [stageCount]float64{1, 1, 1}}
+		s = &pool{meanDuration: initialDuration, connectTime: initialConnectTime, latencyRatio: [stageCount]float64{1, 1, 1}}
 		p.services[service] = s
 	}
 	return s
--- a/io/sqlink/conn.go
+++ b/io/sqlink/conn.go
@@ -44,6 +44,8 @@
 	br      *bufio.Reader
 	// canceled is set once the context of the call ended.
 	canceled atomic.Bool
+	// connectTime is how long it took to open the connection.
+	connectTime time.Duration
 	// reused is set once the connection has carried a whole exchange.
 	reused      bool
 	idleSince   time.Time
--- a/io/sqlink/sqlink.go
+++ b/io/sqlink/sqlink.go
@@ -85,6 +85,9 @@
 
 	mu         sync.Mutex
 	byEndpoint map[string]*endpointConns
+	// idleChanged holds the endpoints whose most recently used idle connection has changed
+	// since TakeIdleChanges was last called.
+	idleChanged map[string]struct{}
 }
 
 // endpointConns holds the idle connections to one endpoint and the number of all
@@ -97,7 +100,8 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		byEndpoint: map[string]*endpointConns{},
+		byEndpoint:  map[string]*endpointConns{},
+		idleChanged: map[string]struct{}{},
 		dialer: net.Dialer{
 			Timeout: connectTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
@@ -170,6 +174,7 @@
 	if n := len(conns.idle); n > 0 {
 		c := conns.idle[n-1]
 		conns.idle = conns.idle[:n-1]
+		p.idleChanged[call.Endpoint] = struct{}{}
 		return c, nil
 	}
 	if call.MaxConnections > 0 && conns.open >= call.MaxConnections {
@@ -184,6 +189,7 @@
 func newEndpointConns() *endpointConns { return &endpointConns{} }
 
 func (p *Pool) dial(ctx context.Context, call *Call) (*conn, error) {
+	startedAt := sqclock.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", call.Address)
 	if err != nil {
 		p.releaseSlot(call.Endpoint)
@@ -197,7 +203,9 @@
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
 		})
 	}
-	return newConn(nc, p.traffic), nil
+	c := newConn(nc, p.traffic)
+	c.connectTime = sqclock.Now().Sub(startedAt)
+	return c, nil
 }
 
 // Refuses reports whether no process listens at the address. It opens a connection
@@ -234,6 +242,7 @@
 	defer p.mu.Unlock()
 	conns := p.byEndpoint[endpoint]
 	conns.idle = append(conns.idle, c)
+	p.idleChanged[endpoint] = struct{}{}
 }
 
 // CloseIdle closes the connections whose idle timeout has passed at now, and all idle
@@ -249,6 +258,7 @@
 				continue
 			}
 			expired = append(expired, c)
+			p.idleChanged[endpoint] = struct{}{}
 			conns.open--
 		}
 		conns.idle = kept
