Gateways are left out of the answers only if they are far above their zone, rates are smoothed

And a second of full processor, as a new routing table takes, made a gateway overloaded for 5 s.

Change: the rates of link and processor are the mean of the last second and the value before. An overloaded gateway is left out only if it is at its limit or has one and a half times the mean level of its zone.

Tests: TestMeter covers the mean. TestUnevenZone plays the readings through meters, and its bound on closed connections is stricter, one in 500 connection-seconds for one in 20.

--- a/core/sqdirectory/load_test.go
+++ b/core/sqdirectory/load_test.go
@@ -39,8 +39,12 @@
 	}
 	perConnection := total * demand / 100 / (loadCallers * connections)
 	open := make([][]string, loadCallers)
-	o := NewOverloads()
+	o, meters, used := NewOverloads(), make([]*Meter, loadGateways), make([]time.Duration, loadGateways)
+	for i := range meters {
+		meters[i] = NewMeter(VM{ProcessorShare: 1})
+	}
 	for second := range loadSeconds {
+		now := start.Add(time.Duration(second) * time.Second)
 		named := slices.Clone(list)
 		for i := range named {
 			if !weighted {
@@ -74,15 +78,14 @@
 			if i == 1 && second >= faultAtSecond && second < faultAtSecond+faultySeconds {
 				capacity /= 3
 			}
-			used := percent(load[g.Address], capacity)
-			if used > 100 {
+			if load[g.Address] > capacity {
 				result.overSeconds++
 			}
-			r := report(g.Address, "a", used)
-			r.Weight = g.Weight
-			reports = append(reports, r)
+			used[i] += time.Duration(load[g.Address] / capacity * float64(time.Second))
+			u := meters[i].Record(Reading{At: now, ProcessorTime: used[i]})
+			reports = append(reports, Report{Name: g.Address, Zone: "a", Utilization: u, Weight: g.Weight})
 		}
-		o.Update(start.Add(time.Duration(second)*time.Second), reports)
+		o.Update(now, reports)
 		for i := range list {
 			list[i].Overloaded = o.LeftOut(list[i].Address)
 		}
@@ -101,7 +104,7 @@
 		t.Logf("demand %.0f %%: %d gateway-seconds above the capacity, %d before; %d connections closed; %d gateways left out at most",
 			demand, now.overSeconds, today.overSeconds, now.closed, now.mostLeftOut)
 		assert.Assert(t, now.overSeconds < today.overSeconds && (demand > roomPercent || now.overSeconds*10 < today.overSeconds))
-		assert.Assert(t, now.closed*20 < loadCallers*connections*loadSeconds)
+		assert.Assert(t, now.closed*500 < loadCallers*connections*loadSeconds)
 		assert.Assert(t, now.mostLeftOut*leftOutDivisor <= loadGateways && (demand < roomPercent || now.mostLeftOut == 0))
 	}
 }
--- a/core/sqdirectory/overload.go
+++ b/core/sqdirectory/overload.go
@@ -28,6 +28,10 @@
 	// this bound, each gateway that is left out makes the next one overloaded.
 	roomPercent = 70
 	fullPercent = enterPercent
+	// A gateway is left out only if it is at its limit, or has at least outlierPercent of its
+	// zone's mean level: in a busy zone some are above enterPercent by chance, for a moment.
+	outlierPercent = 150
+	limitPercent   = 100
 	// leftOutDivisor is the part of a zone's gateways that may be left out at once.
 	leftOutDivisor = 3
 )
@@ -183,13 +187,16 @@
 		return cmp.Or(cmp.Compare(b.Utilization.level(), a.Utilization.level()), cmp.Compare(a.Name, b.Name))
 	})
 	left, capacity := z.gateways/leftOutDivisor, z.capacity
+	outlier := min(limitPercent, z.load/z.capacity*outlierPercent/100)
 	for i := range z.overloaded {
 		r := &z.overloaded[i]
-		s, remaining, bound := o.byName[r.Name], capacity-r.capacity(), float64(roomPercent)
+		s, remaining := o.byName[r.Name], capacity-r.capacity()
 		if s.leftOut {
-			bound = fullPercent
+			s.leftOut = left > 0 && z.load < fullPercent*remaining
+		} else {
+			s.leftOut = left > 0 && z.load < roomPercent*remaining && float64(r.Utilization.level()) >= outlier
 		}
-		if s.leftOut = left > 0 && z.load < bound*remaining; s.leftOut {
+		if s.leftOut {
 			left, capacity = left-1, remaining
 		}
 	}
--- a/core/sqdirectory/sqdirectory.go
+++ b/core/sqdirectory/sqdirectory.go
@@ -69,13 +69,17 @@
 	vm      VM
 	last    Reading
 	current Utilization
+	// hasRate is set once a rate was computed.
+	hasRate bool
 }
 
 // NewMeter returns a meter that has no utilization before its second reading.
 func NewMeter(vm VM) *Meter { return &Meter{vm: vm} }
 
-// Record records a reading and returns the utilization since the reading before. A reading
-// that follows sooner than minMeterInterval changes nothing.
+// Record records a reading and returns the utilization. That of link and processor is the
+// mean of the rate since the reading before and the value before, so that a short peak, such
+// as that of a new routing table, does not look like overload. A reading that follows sooner
+// than minMeterInterval changes nothing.
 func (m *Meter) Record(r Reading) Utilization {
 	elapsed := r.At.Sub(m.last.At)
 	if !m.vm.Measured() || !m.last.At.IsZero() && elapsed < minMeterInterval {
@@ -91,8 +95,12 @@
 	seconds := elapsed.Seconds()
 	// A link carries as much in one direction as in the other at the same time.
 	bytes := max(r.BytesRead-previous.BytesRead, r.BytesWritten-previous.BytesWritten)
-	m.current.LinkPercent = percent(float64(bytes)*bitsPerByte/mega, m.vm.LinkMegabits*seconds)
-	m.current.ProcessorPercent = percent((r.ProcessorTime - previous.ProcessorTime).Seconds(), m.vm.ProcessorShare*seconds)
+	link := percent(float64(bytes)*bitsPerByte/mega, m.vm.LinkMegabits*seconds)
+	processor := percent((r.ProcessorTime - previous.ProcessorTime).Seconds(), m.vm.ProcessorShare*seconds)
+	if m.hasRate {
+		link, processor = (m.current.LinkPercent+link)/2, (m.current.ProcessorPercent+processor)/2
+	}
+	m.current.LinkPercent, m.current.ProcessorPercent, m.hasRate = link, processor, true
 	return m.current
 }
 
--- a/core/sqdirectory/sqdirectory_test.go
+++ b/core/sqdirectory/sqdirectory_test.go
@@ -41,13 +41,17 @@
 	}
 }
 
-// TestMeter fails if a rate is not relative to the VM and the time that has passed.
+// TestMeter fails if a rate is not relative to the VM and the time that has passed, or is
+// forgotten at once.
 func TestMeter(t *testing.T) {
 	m := NewMeter(VM{MemoryBytes: 200 << 20, LinkMegabits: 8, ProcessorShare: 0.2})
 	assert.Equal(t, m.Record(Reading{At: start, MemoryBytes: 50 << 20}), Utilization{MemoryPercent: 25})
 	used := Reading{At: start.Add(2 * time.Second), MemoryBytes: 100 << 20, BytesRead: 1_000_000, BytesWritten: 1_500_000, ProcessorTime: 300 * time.Millisecond}
 	want := Utilization{MemoryPercent: 50, LinkPercent: 75, ProcessorPercent: 75}
 	assert.Equal(t, m.Record(used), want)
+	used.At = used.At.Add(time.Second)
+	want.LinkPercent, want.ProcessorPercent = 37, 37
+	assert.Equal(t, m.Record(used), want, "half of the value before, as nothing was used since")
 	used.At = used.At.Add(minMeterInterval - 1)
 	assert.Equal(t, m.Record(used), want)
 	assert.Equal(t, NewMeter(VM{MemoryBytes: 1 << 20}).Record(Reading{At: start, MemoryBytes: 1 << 20}), Utilization{})
