Holder: no decision about overloads while no gateway is close to a limit

Cause: the check of all gateways, ten times a second and with each new gateway, made reports and maps for the decision although nothing had to be decided. Change: it returns early while no utilization is high and nobody was overloaded.

--- a/app/sqcoordinator/overloads.go
+++ b/app/sqcoordinator/overloads.go
@@ -26,6 +26,9 @@
 // updateOverloads decides which of the listed gateways are left out of the answers to
 // callers, and marks their entries of the directory.
 func (r *gatewayRegistry) updateOverloads(now time.Time, listed []string) {
+	if r.overloads.Empty() && !slices.ContainsFunc(listed, func(name string) bool { return r.byName[name].utilization.High() }) {
+		return
+	}
 	reports := make([]sqdirectory.Report, 0, len(listed))
 	for _, name := range listed {
 		gw := r.byName[name]
--- a/app/sqcoordinator/overloads_test.go
+++ b/app/sqcoordinator/overloads_test.go
@@ -73,3 +73,20 @@
 	assert.Equal(t, len(o.directory), 2, "g2 is silent")
 	assert.Assert(t, !o.directory[1].GetOverloaded())
 }
+
+// BenchmarkCheckSilence measures the check of all gateways, ten times a second, with none
+// and a fifth of them overloaded.
+func BenchmarkCheckSilence(b *testing.B) {
+	for _, percent := range []uint32{20, 90} {
+		b.Run(fmt.Sprint("340Gateways/highest=", percent), func(b *testing.B) {
+			o := &overloadTest{newGatewayRegistry(testLog(), 2), time.Unix(1000, 0)}
+			for i := range 340 {
+				o.beat(fmt.Sprint("g", i), uint32(i%5)*percent/4)
+			}
+			for b.Loop() {
+				o.changed = true
+				o.checkSilence(o.now)
+			}
+		})
+	}
+}
--- a/core/sqdirectory/overload.go
+++ b/core/sqdirectory/overload.go
@@ -91,6 +91,10 @@
 	return overloaded, leftOut
 }
 
+// Empty reports whether no gateway is, or was a short time ago, overloaded. Then Update
+// changes nothing unless a utilization is high.
+func (o *Overloads) Empty() bool { return len(o.byName) == 0 }
+
 // Update decides by the last utilization of all gateways that callers may be directed to,
 // and returns the gateways whose state has changed. It forgets gateways that are missing.
 func (o *Overloads) Update(now time.Time, reports []Report) []Change {
@@ -105,7 +109,7 @@
 		}
 		z.add(&r)
 		s := o.byName[r.Name]
-		if s == nil && !r.Utilization.high() {
+		if s == nil && !r.Utilization.High() {
 			continue
 		}
 		if s == nil {
@@ -141,7 +145,7 @@
 // update moves the state of one gateway by its last utilization.
 func (s *overload) update(now time.Time, u Utilization) {
 	switch {
-	case !s.active && u.high():
+	case !s.active && u.High():
 		hold := minOverload
 		if !s.since.IsZero() && now.Sub(s.since) < recurrence {
 			hold = min(2*s.hold, maxOverload)
@@ -202,9 +206,9 @@
 	}
 }
 
-// high reports whether a resource is so close to its limit that a gateway becomes
+// High reports whether a resource is so close to its limit that a gateway becomes
 // overloaded.
-func (u Utilization) high() bool {
+func (u Utilization) High() bool {
 	return u.MemoryPercent >= enterMemoryPercent || u.LinkPercent >= enterPercent || u.ProcessorPercent >= enterPercent
 }
 
