Gateways: open connections decide only where a gateway may have few of them

Cause: with a part of 18 connections to each endpoint most requests find one open; the preference then only makes gateways choose alike. Change: it takes effect where a gateway's part is eight connections or fewer. The test's table now names a limit of 10, so that its gateway's part is 8.

--- a/app/sqgateway/connections.go
+++ b/app/sqgateway/connections.go
@@ -5,10 +5,15 @@
 	"sequoiadock/io/sqlink"
 )
 
+// scarceConnections is how many connections to an endpoint a gateway may have at most for
+// its choices to depend on them. A gateway with more finds one open for most requests, and
+// choices by connection would only make gateways choose alike.
+const scarceConnections = 8
+
 // countConnections makes the choice of an endpoint depend on the open connections, if the
-// routing table limits those to the endpoints of the service.
+// routing table limits those to the endpoints of the service to a few for each gateway.
 func (x *request) countConnections(q *sqplace.Query) {
-	if s := x.table.Service(x.service); s == nil || s.MaxConnections() == 0 {
+	if n := x.maxConnections(); n == 0 || n > scarceConnections {
 		return
 	}
 	q.CountConnections = true
