Gateways and coordinators: one memory budget for what callers send

Cause: bodies were read into buffers of any number and, at coordinators, of any length; four listeners accepted 1 MB of headers; nothing bounded the number of connections or what the kernel holds for each.

Change: io/sqhttp.Guard owns all servers of a process. Each connection has an account in one budget (io/sqmemory.Budget), from which headers, bodies and kept responses are reserved before they are read and released on every path. If it is used up, callers without progress are ended, the longest first; otherwise the new request is refused with 503. Limits of connections follow from node.memoryMegabytes and node.maxDescriptors, and so does the limit of the garbage collector. Sockets have bounded buffers. All servers of gateways and coordinators have limits of headers and times to read; control and entry processes got limits of headers, control processes a time to read. Operators' tables are parsed one at a time, and 503 answers a table for which there is no memory. A replica sends at most 8 MB at once, unless it is one message. After a refused body the connection reads on for 1 s instead of without a limit.

--- a/app/sqcontrol/run.go
+++ b/app/sqcontrol/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
@@ -17,6 +18,12 @@
 	"sequoiadock/io/sqrpc"
 )
 
+const (
+	// readTimeout bounds the reading of a call, and maxHeaderBytes its headers.
+	readTimeout    = 10 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
 // processRole is the role of the process in logs.
 const processRole = "control"
 
@@ -51,7 +58,7 @@
 func serve(ctx context.Context, cfg Config, ln net.Listener, s *server) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	srv := &http.Server{Handler: routes(s), ReadHeaderTimeout: callTimeout}
+	srv := &http.Server{Handler: routes(s), ReadHeaderTimeout: callTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -95,6 +95,10 @@
 	NewPlatform func(plain *http.Client, guarded func(term uint64) *http.Client) (sqcore.Platform, sqcore.Engines)
 	// OperatorHandler returns the HTTP handler for operators.
 	OperatorHandler func(d sqcore.Declarations) http.Handler
+	// MemoryBytes is the memory that the process may use, and MaxDescriptors how many
+	// descriptors it may have open. 0 stands for the defaults of sqhttp.GuardConfig.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// SeedUpdates delivers the new seeds when the settings change.
 	SeedUpdates <-chan []string
 	Log         *sqlog.Log
@@ -121,6 +125,10 @@
 	// quarantineDecisions passes decisions to commitQuarantines.
 	quarantineDecisions chan sqquarantine.Decision
 
+	// parsingTable is held while a table of an operator is parsed, which takes many times
+	// its length in memory.
+	parsingTable sync.Mutex
+
 	// noWatchdogLogged makes the process log only once that the kernel has no timers.
 	noWatchdogLogged sync.Once
 
@@ -153,7 +161,7 @@
 	c.seeds.Store(&cfg.Seeds)
 	c.registerGauges()
 	c.platform, c.engines = cfg.NewPlatform(c.client, c.leaseGuardedClient)
-	transport := sqreplica.NewPeerTransport(sqreplica.TransportConfig{Log: cfg.Log})
+	transport := sqreplica.NewPeerTransport(sqreplica.TransportConfig{Log: cfg.Log, MaxQueuedBytes: maxQueuedBytes})
 	defer transport.Close()
 	var err error
 	c.replica, err = sqreplica.Open(sqreplica.Config{
@@ -165,11 +173,11 @@
 	if err != nil {
 		return err
 	}
-	internalListener, err := sqhttp.Listen(cfg.InternalAddress)
+	internalListener, err := sqhttp.ListenBuffered(cfg.InternalAddress, socketBuffers())
 	if err != nil {
 		return err
 	}
-	operatorListener, err := sqhttp.Listen(cfg.OperatorAddress)
+	operatorListener, err := sqhttp.ListenBuffered(cfg.OperatorAddress, socketBuffers())
 	if err != nil {
 		_ = internalListener.Close()
 		return err
@@ -182,10 +190,7 @@
 func (c *coordinator) serve(ctx context.Context, internalListener, operatorListener net.Listener) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	servers := []*http.Server{
-		{Handler: c.internalHandler(), ReadHeaderTimeout: headerTimeout},
-		{Handler: c.cfg.OperatorHandler(c), ReadHeaderTimeout: headerTimeout},
-	}
+	servers := c.newServers()
 	var wg sync.WaitGroup
 	for i, ln := range []net.Listener{internalListener, operatorListener} {
 		wg.Go(func() {
@@ -212,7 +217,7 @@
 	loops.Wait()
 	c.transferLeadership()
 	for _, s := range servers {
-		sqhttp.Shutdown(s, stopTimeout)
+		sqhttp.Shutdown(s.Server, stopTimeout)
 	}
 	stopReplica()
 	wg.Wait()
--- a/app/sqcoordinator/declare.go
+++ b/app/sqcoordinator/declare.go
@@ -16,7 +16,9 @@
 
 // Declare implements sqcore.Declarations.
 func (c *coordinator) Declare(ctx context.Context, document []byte) error {
+	c.parsingTable.Lock()
 	table, err := c.cfg.Wire.ParseTable(document)
+	c.parsingTable.Unlock()
 	if err != nil {
 		c.log.Event(sqevent.TableRefused, len(document), err.Error())
 		return err
--- a/app/sqentry/run.go
+++ b/app/sqentry/run.go
@@ -111,6 +111,7 @@
 	t := e.cfg.Timings
 	return &http.Server{
 		Handler: e.internalHandler(), ReadHeaderTimeout: t.HeaderTimeout, ReadTimeout: t.BodyTimeout, IdleTimeout: t.IdleTimeout, ErrorLog: discardLogger,
+		MaxHeaderBytes: maxNetHTTPHeaderBytes,
 	}
 }
 
--- a/app/sqgateway/answer.go
+++ b/app/sqgateway/answer.go
@@ -1,7 +1,6 @@
 package sqgateway
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -81,7 +80,7 @@
 		x.g.log.Event(sqevent.CallerNotReset, x.attempt.ID, err.Error())
 		return
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		// The connection may be closed already, and then there is nothing to reset.
 		_ = tcp.SetLinger(0)
 	}
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -60,9 +60,6 @@
 	// was last known to be the newest, if a newer one is known. The rest covers requests
 	// that are being handled at the end.
 	supersededPercent = 80
-	// memoryLimitBytes is the size of the process above which the garbage collector does all
-	// it can, below the 128 MB of a small VM.
-	memoryLimitBytes = 96 << 20
 	// sweepInterval is the time between two calls of Pool.CloseIdle, which closes
 	// idle connections to endpoints.
 	sweepInterval = 500 * time.Millisecond
@@ -93,7 +90,11 @@
 	// DrainTimeout is the time after which an endpoint that is listed as draining gets no
 	// more requests. 0 sets no bound.
 	DrainTimeout time.Duration
-	Wire         sqcore.Wire
+	// MemoryBytes is the memory that the process may use, and MaxDescriptors how many
+	// descriptors it may have open. 0 stands for the defaults of sqhttp.GuardConfig.
+	MemoryBytes    int64
+	MaxDescriptors int
+	Wire           sqcore.Wire
 	// DirectoryHandler returns the handler that tells callers the gateways'
 	// addresses. ReadyHandler returns the handler of the platform's readiness probe.
 	DirectoryHandler func(d sqcore.Directory) http.Handler
@@ -113,6 +114,7 @@
 	locator           *sqlocate.Locator
 	coordinatorClient *http.Client
 	responseMemory    *sqmemory.Pool
+	guard             *sqhttp.Guard
 	// view is replaced with viewMu held; freshness says until when it may be used.
 	view             atomic.Pointer[view]
 	viewMu           sync.Mutex
@@ -149,8 +151,8 @@
 // Run runs a gateway until ctx ends and the graceful shutdown is complete. It
 // returns an error if an address cannot be listened on or a server fails.
 func Run(ctx context.Context, cfg Config) error {
-	debug.SetMemoryLimit(memoryLimitBytes)
 	g := newGateway(cfg)
+	debug.SetMemoryLimit(g.guard.GCLimit())
 	listeners, err := listenAll(cfg.CallerAddress, cfg.ReadinessAddress, cfg.DirectoryAddress, cfg.InternalAddress)
 	if err != nil {
 		return err
@@ -181,13 +183,14 @@
 	g.startedAt = sqclock.Now()
 	g.view.Store(&view{lastHeardAt: g.startedAt})
 	g.metrics = newGatewayMetrics(g)
+	g.guard = sqhttp.NewGuard(sqhttp.GuardConfig{MemoryBytes: cfg.MemoryBytes, MaxDescriptors: cfg.MaxDescriptors, Metrics: g.metrics.set, Log: cfg.Log})
 	return g
 }
 
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, a := range addresses {
-		ln, err := sqhttp.Listen(a)
+		ln, err := sqhttp.ListenBuffered(a, socketBuffers())
 		if err != nil {
 			return nil, err
 		}
@@ -199,16 +202,8 @@
 // serve runs the servers and the background loops until ctx ends and the graceful
 // shutdown is complete, or until a server fails.
 func (g *gateway) serve(ctx context.Context, listeners []net.Listener) error {
-	callerServer := &http.Server{
-		Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
-	servers := []*http.Server{
-		callerServer,
-		{Handler: g.cfg.ReadyHandler(g.ready), ReadHeaderTimeout: headerTimeout},
-		{Handler: g.cfg.DirectoryHandler(g), ReadHeaderTimeout: headerTimeout},
-		{Handler: g.internalHandler(), ReadHeaderTimeout: headerTimeout},
-	}
+	servers := g.newServers()
+	callerServer := servers[0]
 	serveErrs := make(chan error, len(servers))
 	for i, ln := range listeners {
 		go func() { serveErrs <- servers[i].Serve(ln) }()
@@ -238,7 +233,7 @@
 // shutDown shuts the gateway down gracefully. It still serves new requests for as
 // long as callers may cache the gateway's address, and then waits until the
 // requests in flight end or the grace period is nearly over.
-func (g *gateway) shutDown(callerServer *http.Server) {
+func (g *gateway) shutDown(callerServer *sqhttp.Server) {
 	startedAt := sqclock.Now()
 	g.shuttingDown.Store(true)
 	g.triggerHeartbeat()
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
 
 	"sequoiadock/core/sqattempt"
+	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqtable"
@@ -31,6 +31,10 @@
 	// bodyTimeout is the maximum time to read a request body, if the deadline is not
 	// earlier.
 	bodyTimeout = 10 * time.Second
+	// drainTimeout is the maximum time to read the rest of the body of a refused request.
+	drainTimeout = 1 * time.Second
+	// memoryRetryAfter is the Retry-After time if there is no memory for a request.
+	memoryRetryAfter = 1 * time.Second
 )
 
 // request holds the state of one attempt of a caller while the gateway handles it.
@@ -85,7 +89,7 @@
 	g.metrics.running.Add(1)
 	defer g.metrics.running.Add(-1)
 	x := &request{g: g, w: w, r: r, receivedAt: sqclock.Now(), attempt: g.cfg.Wire.ParseAttempt(r.Header),
-		memory: g.responseMemory.NewReservation()}
+		memory: g.responseMemory.NewReservationOf(sqhttp.AccountOf(r))}
 	defer x.memory.Release()
 	if !x.admit() {
 		return
@@ -198,13 +202,18 @@
 	rc := http.NewResponseController(x.w)
 	// If the connection does not support deadlines, the server's timeouts apply.
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, x.deadline.Sub(x.receivedAt))))
-	body, err := io.ReadAll(sqhttp.LimitBody(x.w, x.r.Body, bodyLimit))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
+	body, err := sqhttp.ReadBody(x.w, x.r, bodyLimit)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
 		x.body = body
 		return true
+	}
+	// The server reads on for a moment, so that the caller can read the response.
+	_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case sqerror.KindOf(err) == sqerror.Overloaded:
+		x.refuse(http.StatusServiceUnavailable, "no memory for the body", memoryRetryAfter)
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "the body is too long", 0)
 	default:
--- a/app/sqprocess/members.go
+++ b/app/sqprocess/members.go
@@ -22,11 +22,8 @@
 
 // A coordinator's heap is small, and each heartbeat leaves some garbage: at the usual
 // percentage, a third of the processor time at hundreds of gateways is garbage collection.
-// Beyond the memory limit, in bytes, the heap is collected as often as needed.
-const (
-	coordinatorGCPercent   = 400
-	coordinatorMemoryLimit = 128 << 20
-)
+// Beyond the memory limit of the process, the heap is collected as often as needed.
+const coordinatorGCPercent = 400
 
 func runCoordinator(ctx context.Context, p process) int {
 	settings, faults := sqsettings.ReadCoordinator(p.file)
@@ -34,7 +31,6 @@
 		return printSettingsFaults(p.stderr, faults)
 	}
 	debug.SetGCPercent(coordinatorGCPercent)
-	debug.SetMemoryLimit(coordinatorMemoryLimit)
 	n, b := settings.Node(), settings.Bounds()
 	log, closeLog := newLog(n.Name())
 	defer closeLog()
@@ -46,6 +42,7 @@
 			client := sqadapter.NewClient(sqadapter.ClientConfig{Address: settings.PlatformAddress(), ReadClient: plain, LeaseClient: guarded, Wall: sqclock.Wall, Now: sqclock.Now})
 			return client, client
 		},
+		MemoryBytes: n.VM().MemoryBytes(), MaxDescriptors: n.VM().MaxDescriptors(),
 		OperatorHandler: sqadapter.OperatorHandler,
 		SeedUpdates: watchSettings(ctx, settingsWatch{log: log, role: "coordinator", file: p.file, hup: p.hup, readSeeds: func() ([]string, []*sqerror.Error) {
 			s, faults := sqsettings.ReadCoordinator(p.file)
@@ -70,6 +67,7 @@
 		Seeds:         settings.Cluster().Seeds(),
 		Retry:         sqretry.Config{Ratio: b.RetryRatio(), ExtraRetries: b.ExtraRetries(), Window: b.RetryWindow()},
 		BillingWindow: b.BillingWindow(), StopGracePeriod: b.StopGracePeriod(), TableApplyTimeout: b.TableApplyTimeout(), DrainTimeout: b.DrainTimeout(), Wire: sqadapter.Wire{},
+		MemoryBytes: n.VM().MemoryBytes(), MaxDescriptors: n.VM().MaxDescriptors(),
 		DirectoryHandler: sqadapter.DirectoryHandler, ReadyHandler: sqadapter.ReadyHandler,
 		SeedUpdates: watchSettings(ctx, settingsWatch{log: log, role: "gateway", file: p.file, hup: p.hup, readSeeds: func() ([]string, []*sqerror.Error) {
 			s, faults := sqsettings.ReadGateway(p.file)
--- a/core/sqevent/catalogue.go
+++ b/core/sqevent/catalogue.go
@@ -10,11 +10,12 @@
 	SettingsReloaded = Event{1005, Info, "settings reloaded", []string{"role", "seeds"}}
 	SettingsKept     = Event{1006, Error, "changed settings are invalid and not applied", []string{"role", "error"}}
 	LogLinesDropped  = Event{1007, Warn, "log lines were dropped", []string{"lines"}}
+	CallerOverMemory = Event{1008, Warn, "caller refused or closed, the process has no room for it", []string{"listener", "caller", "reason", "usedBytes", "limitBytes", "connections", "maxConnections", "unreported"}}
 )
 
 // Catalogue returns all events in ascending order of their numbers.
 func Catalogue() []Event {
-	all := []Event{Started, Stopping, Stopped, Failed, SettingsReloaded, SettingsKept, LogLinesDropped}
+	all := []Event{Started, Stopping, Stopped, Failed, SettingsReloaded, SettingsKept, LogLinesDropped, CallerOverMemory}
 	all = append(all, replicaEvents...)
 	all = append(all, controlEvents...)
 	all = append(all, entryEvents...)
--- a/io/sqlink/sqlink.go
+++ b/io/sqlink/sqlink.go
@@ -17,6 +17,7 @@
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqhttp"
 )
 
 const (
@@ -37,6 +38,11 @@
 	defaultIdleTimeout = 400 * time.Millisecond
 	// maxIdleTimeout limits how long any idle connection is kept.
 	maxIdleTimeout = 10 * time.Second
+	// receiveBufferBytes and sendBufferBytes are the sizes of the kernel's buffers of a
+	// connection, so that an endpoint that does not read, or whose response is not read, takes
+	// little memory.
+	receiveBufferBytes = 32 << 10
+	sendBufferBytes    = 96 << 10
 )
 
 // Owner says to which request a response belongs.
@@ -98,6 +104,7 @@
 		byEndpoint: map[string]*endpointConns{},
 		dialer: net.Dialer{
 			Timeout: connectTimeout,
+			Control: sqhttp.SocketBuffers{Receive: receiveBufferBytes, Send: sendBufferBytes}.Control,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 			},
--- a/io/sqmemory/sqmemory.go
+++ b/io/sqmemory/sqmemory.go
@@ -35,12 +35,17 @@
 }
 
 // NewReservation returns a reservation of no bytes.
-func (p *Pool) NewReservation() *Reservation { return &Reservation{pool: p} }
+func (p *Pool) NewReservation() *Reservation { return p.NewReservationOf(nil) }
+
+// NewReservationOf returns a reservation of no bytes that an account of a budget holds as
+// well.
+func (p *Pool) NewReservationOf(a *Account) *Reservation { return &Reservation{pool: p, account: a} }
 
 // Reservation is the memory that one request has reserved in a pool. It is safe for
 // concurrent use: a call may outlive its request.
 type Reservation struct {
-	pool *Pool
+	pool    *Pool
+	account *Account
 
 	mu       sync.Mutex
 	bytes    int64
@@ -62,6 +67,13 @@
 	if !r.pool.reserve(n) {
 		return false
 	}
+	if n > 0 && !r.account.Reserve(n) {
+		r.pool.usedBytes.Add(-n)
+		return false
+	}
+	if n < 0 {
+		r.account.Release(-n)
+	}
 	r.bytes += n
 	return true
 }
@@ -79,6 +91,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pool.usedBytes.Add(-r.bytes)
+	r.account.Release(r.bytes)
 	r.bytes = 0
 	r.released = true
 }
