Callers that send a byte now and then give way to others

Cause: each byte counted as progress, so a crowd of dripping callers kept the budget until the time to read their requests was over.

Change: the beginning of a request or 1 KB counts as progress.

--- a/io/sqhttp/conn.go
+++ b/io/sqhttp/conn.go
@@ -21,6 +21,8 @@
 	headerCopies   = 2
 	// minRequestBytes is reserved with the first byte of a request.
 	minRequestBytes = 8 << 10
+	// minProgressBytes is how many bytes count as progress of a request.
+	minProgressBytes = 1 << 10
 	// refusalTimeout bounds the write of a refusal.
 	refusalTimeout = 100 * time.Millisecond
 )
@@ -84,6 +86,8 @@
 	// is what is reserved for the request without its body. Only the goroutine that serves
 	// the connection uses them.
 	headerBytes, headerLines, requestReserved int64
+	// bytesSinceProgress changes with each read. There is one at a time.
+	bytesSinceProgress int
 }
 
 // Read implements net.Conn. It reserves memory for headers before they are parsed.
@@ -92,7 +96,7 @@
 	if n == 0 {
 		return n, err
 	}
-	c.account.RecordProgress(sqclock.Now())
+	c.recordProgress(n)
 	if c.active.Load() || c.reserveHeaders(b[:n]) {
 		return n, err
 	}
@@ -103,6 +107,17 @@
 	return 0, os.ErrDeadlineExceeded
 }
 
+// recordProgress records that n bytes came. Few bytes after the beginning of a request are no
+// progress, so that a caller that sends a byte now and then gives way to others.
+func (c *conn) recordProgress(n int) {
+	c.bytesSinceProgress += n
+	begins := !c.active.Load() && c.requestReserved == 0
+	if begins || c.bytesSinceProgress >= minProgressBytes {
+		c.account.RecordProgress(sqclock.Now())
+		c.bytesSinceProgress = 0
+	}
+}
+
 // reserveHeaders reserves the memory for the headers of a request, of which b was read.
 func (c *conn) reserveHeaders(b []byte) bool {
 	c.headerBytes += int64(len(b))
--- a/io/sqhttp/guard_test.go
+++ b/io/sqhttp/guard_test.go
@@ -168,6 +168,26 @@
 	g.usedBytesBecome(t, isZero)
 }
 
+// TestDrippingCallersGiveWay fails if callers that send a byte now and then keep the room
+// that another one needs.
+func TestDrippingCallersGiveWay(t *testing.T) {
+	g := newTestGuard(t, 32<<20, ServerConfig{})
+	for range 12 {
+		nc := g.open(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 300_000))
+		go func() {
+			for err := error(nil); err == nil; time.Sleep(20 * time.Millisecond) {
+				_, err = nc.Write([]byte("x"))
+			}
+		}()
+	}
+	g.usedBytesBecome(t, func(n int64) bool { return n > g.guard.Budget().Limit()/2 })
+	for status, end := 0, time.Now().Add(testTimeout/2); status != http.StatusOK; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "status %d", status)
+		status, _ = g.post(t, bytes.NewReader(make([]byte, 2<<20)))
+	}
+	assert.Assert(t, g.server.evicted.Get() > 0)
+}
+
 // TestUnfinishedHeadersAreCounted fails if what a caller sends of its headers takes memory
 // that the budget does not know of.
 func TestUnfinishedHeadersAreCounted(t *testing.T) {
