--- a/app/sqgateway/utilization.go
+++ b/app/sqgateway/utilization.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -32,14 +31,6 @@
 	return u
 }
 
-// wrap returns a listener whose traffic is measured, or ln itself if nothing is measured.
-func (u *utilization) wrap(ln net.Listener) net.Listener {
-	if !u.vm.Measured() {
-		return ln
-	}
-	return u.traffic.Listener(ln)
-}
-
 // record takes a reading at now.
 func (u *utilization) record(now time.Time) {
 	current := u.meter.Record(sqdirectory.Reading{
--- a/app/sqgateway/utilization_test.go
+++ b/app/sqgateway/utilization_test.go
@@ -1,15 +1,17 @@
 package sqgateway
 
 import (
-	"net"
+	"io"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"sequoiadock/core/sqdirectory"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqrpc"
 )
@@ -18,18 +20,20 @@
 // link, or a gateway whose VM is not configured reports a utilization.
 func TestUtilizationIsMeasured(t *testing.T) {
 	u := newUtilization(sqdirectory.VM{MemoryBytes: 144 << 20, LinkMegabits: 8, ProcessorShare: 0.144})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := sqhttp.ListenBuffered("127.0.0.1:0", socketBuffers())
 	assert.NilError(t, err)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write(make([]byte, 500_000))
-	})}
-	go func() { _ = server.Serve(u.wrap(ln)) }()
+	guard := sqhttp.NewGuard(sqhttp.GuardConfig{Metrics: metrics.NewSet()})
+	server := guard.NewServer(sqhttp.ServerConfig{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 500_000)) }),
+		Name:    "callers", ConnectionPercent: callerConnections, SharePercent: callerSharePercent, Buffers: socketBuffers(), Traffic: u.traffic,
+	})
+	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(func() { _ = server.Close() })
 	begin := time.Unix(1000, 0)
 	u.record(begin)
 	res, err := http.Get("http://" + ln.Addr().String())
 	assert.NilError(t, err)
-	_, err = res.Body.Read(make([]byte, 1))
+	_, err = io.Copy(io.Discard, res.Body)
 	assert.NilError(t, err)
 	waitFor(t, func() bool { return u.traffic.Written() > 500_000 })
 	assert.NilError(t, res.Body.Close())
--- a/io/sqmeter/sqmeter.go
+++ b/io/sqmeter/sqmeter.go
@@ -3,10 +3,8 @@
 package sqmeter
 
 import (
-	"net"
 	"runtime/metrics"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -37,68 +35,6 @@
 // Written returns the bytes that were written.
 func (t *Traffic) Written() int64 { return t.written.Load() }
 
-// Listener returns a listener whose connections count what they carry.
-func (t *Traffic) Listener(ln net.Listener) net.Listener { return listener{Listener: ln, traffic: t} }
-
-type listener struct {
-	net.Listener
-	traffic *Traffic
-}
-
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, traffic: l.traffic}, nil
-}
-
-// conn is a connection that counts what it carries.
-type conn struct {
-	net.Conn
-	traffic *Traffic
-}
-
-// Read implements io.Reader.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.traffic.AddRead(n)
-	return n, err
-}
-
-// Write implements io.Writer.
-func (c *conn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.traffic.AddWritten(n)
-	return n, err
-}
-
-// CloseWrite closes the sending side, which an HTTP server does before it closes a
-// connection with unread bytes.
-func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
-// SetLinger sets what closing the connection does with unsent bytes.
-func (c *conn) SetLinger(seconds int) error {
-	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		return l.SetLinger(seconds)
-	}
-	return nil
-}
-
-// SyscallConn implements syscall.Conn.
-func (c *conn) SyscallConn() (syscall.RawConn, error) {
-	if s, ok := c.Conn.(syscall.Conn); ok {
-		return s.SyscallConn()
-	}
-	return nil, syscall.EINVAL
-}
-
 // ProcessorTime returns the processor time that the process has used since its start.
 func ProcessorTime() time.Duration {
 	var u unix.Rusage
