Quotas of teams: bucket at the lease holder, reserves and charges at gateways

Cause: no code read the quotas of the routing table. Change: the table has ratePerS, burst, unit and plainTokens; core/sqquota has the Issuer and the Account; gateways charge before the first send and ask the holder with GrantQuota; coordinators load quotas, grant and refill reserves.

--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -22,6 +22,7 @@
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqquarantine"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqguard"
 	"sequoiadock/io/sqhttp"
@@ -89,7 +90,9 @@
 	FencedReceivers bool
 	// BillingWindow is the length of a billing window.
 	BillingWindow time.Duration
-	Wire          sqcore.Wire
+	// Quota is how far all gateways together may exceed a team's quota.
+	Quota sqquota.Bounds
+	Wire  sqcore.Wire
 	// NewPlatform returns clients of the platform and of the engines. They use the HTTP
 	// client plain, and guarded for calls that need the lease of a term.
 	NewPlatform func(plain *http.Client, guarded func(term uint64) *http.Client) (sqcore.Platform, sqcore.Engines)
@@ -111,6 +114,8 @@
 	client       *http.Client
 	log          *sqlog.Log
 	metrics      *metrics.Set
+	// quotaGranted and quotaRefused count the answers to GrantQuota.
+	quotaGranted, quotaRefused *metrics.Counter
 
 	// seeds points to the seeds of the settings in force.
 	seeds atomic.Pointer[[]string]
@@ -203,7 +208,7 @@
 		}
 	})
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.bootstrap, c.announce, c.updateMembers, c.pollEndpoints, c.reportUsage, c.manageCapacity, c.logLoads, c.updateSeeds, c.commitQuarantines} {
+	for _, loop := range []func(context.Context){c.bootstrap, c.announce, c.updateMembers, c.pollEndpoints, c.reportUsage, c.manageCapacity, c.logLoads, c.updateSeeds, c.commitQuarantines, c.loadQuotas} {
 		loops.Go(func() { loop(ctx) })
 	}
 	c.log.Event(sqevent.Started, roleName, c.cfg.Name, c.cfg.Zone, internalListener.Addr().String())
--- a/app/sqcoordinator/heartbeat.go
+++ b/app/sqcoordinator/heartbeat.go
@@ -85,6 +85,7 @@
 	c.recordDepartures(now, t, req)
 	t.recordOrigins(now, req)
 	c.exchangeLimits(now, t, req, res)
+	c.exchangeQuotas(now, t, req, res)
 	c.fillBeatResponse(now, t, req, res)
 	if err := t.cacheUpdates.exchange(now, req, res); err != nil {
 		c.log.Event(sqevent.BeatNotEncoded, "cache updates", err.Error())
--- a/app/sqcoordinator/holder.go
+++ b/app/sqcoordinator/holder.go
@@ -20,6 +20,7 @@
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqquorum"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqstate"
 	"sequoiadock/core/sqwindow"
 	"sequoiadock/io/sqclock"
@@ -70,6 +71,7 @@
 	// endpoints of services have had.
 	origins  *sqorigin.Log
 	versions *sqorigin.Versions
+	quotas   quotaState
 }
 
 func newTermState(log *sqlog.Log, now time.Time, term uint64, billingWindow time.Duration) *termState {
@@ -79,6 +81,7 @@
 		orders: newOrderState(), cacheUpdates: newCacheUpdateLog(term),
 		quarantine: sqquarantine.NewTracker(), suspects: suspectList{revision: term << counterBits}, departures: sqdeparture.NewLog(), limits: sqlimit.NewIssuer(),
 		origins: sqorigin.NewLog(maxOrigins), versions: sqorigin.NewVersions(),
+		quotas: newQuotaState(now, sqquota.Bounds{}),
 	}
 }
 
@@ -108,6 +111,7 @@
 	}
 	if c.termState == nil || c.termState.term != term {
 		c.termState = newTermState(c.log, now, term, c.cfg.BillingWindow)
+		c.termState.quotas = newQuotaState(now, c.cfg.Quota)
 		c.log.Event(sqevent.HolderLeaseGained, term)
 		if wait := sqduty.CallsFrom(term, now, c.cfg.TakeoverDelay).Sub(now); wait > 0 {
 			c.log.Event(sqevent.HolderCallsWait, term, wait.Milliseconds())
--- a/app/sqcoordinator/metrics.go
+++ b/app/sqcoordinator/metrics.go
@@ -6,8 +6,13 @@
 	"sequoiadock/io/sqclock"
 )
 
-// registerGauges registers the gauges of the process.
+// registerGauges registers the gauges and counters of the process.
 func (c *coordinator) registerGauges() {
+	c.quotaGranted = c.metrics.NewCounter(`sequoiadock_coordinator_quota_answers{outcome="granted"}`)
+	c.quotaRefused = c.metrics.NewCounter(`sequoiadock_coordinator_quota_answers{outcome="refused"}`)
+	c.metrics.NewGauge("sequoiadock_coordinator_quota_teams", func() float64 {
+		return c.termGauge(func(_ time.Time, t *termState) float64 { return float64(t.quotas.issuer.Limited()) })
+	})
 	c.metrics.NewGauge("sequoiadock_coordinator_holds_lease", func() float64 {
 		_, _, held := c.replica.Lease(sqclock.Now())
 		if held {
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -34,6 +34,7 @@
 	call := x.newCall(e, sqattempt.SendParams{CacheSource: cacheSource, ResumeAfter: x.resumeAfter()})
 	sentAt := sqclock.Now()
 	reply, err := x.g.pool.Do(x.ctx, call)
+	x.recordQuotaSent(err)
 	if err != nil {
 		return x.connectionFailure(err), false
 	}
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -24,6 +24,7 @@
 	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/core/sqwindow"
 	"sequoiadock/io/sqclock"
@@ -85,6 +86,8 @@
 	Retry sqretry.Config
 	// BillingWindow is the length of a billing window.
 	BillingWindow time.Duration
+	// Quota is how far all gateways together may exceed a team's quota.
+	Quota sqquota.Bounds
 	// StopGracePeriod is the maximum duration of a graceful shutdown.
 	StopGracePeriod time.Duration
 	// TableApplyTimeout is the time within which an acknowledged routing table is in force
@@ -123,6 +126,7 @@
 	// heartbeatSoon is true while a heartbeat is scheduled before the next one is due.
 	heartbeatSoon atomic.Bool
 	metrics       *gatewayMetrics
+	quotas        *quotaGate
 	startedAt     time.Time
 	// firstViewReceived is closed once the lease holder has sent a routing table and
 	// a list of endpoints; firstViewOnce closes it only once.
@@ -177,6 +181,7 @@
 		evidence:          sqquarantine.NewEvidence(sqclock.Now()),
 		demandByService:   map[string]*demand{},
 		origins:           sqorigin.NewLog(maxOrigins),
+		quotas:            newQuotaGate(cfg.Quota),
 	}
 	g.startedAt = sqclock.Now()
 	g.view.Store(&view{lastHeardAt: g.startedAt})
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -105,10 +105,12 @@
 	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.coordinatorClient)
 	req, reports := g.heartbeatRequest(sentAt)
 	lastOrigin := g.addOrigins(req)
+	quotaReports := g.addQuotaReports(req)
 	res, err := client.Beat(ctx, req)
 	if err != nil {
 		return sqrpc.FromTwirp(err)
 	}
+	g.applyQuotas(sentAt, quotaReports, res)
 	g.applyLimits(sentAt, sqclock.Now(), reports, res)
 	g.applyResponse(sentAt, sqclock.Now(), res)
 	g.applyCacheUpdates(res)
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -16,6 +16,8 @@
 
 	answered, refused, failed, disconnected, resends, closeFramed, quarantined *metrics.Counter
 	leavingEndpoints, endpointRefusals, staleListRefusals                      *metrics.Counter
+	quotaRefused, quotaUnanswered, quotaGranted, quotaFailed                   *metrics.Counter
+	quotaWaitSeconds                                                           *metrics.Histogram
 	firstEventSeconds, requestSeconds, tableSeconds                            *metrics.Histogram
 }
 
@@ -33,11 +35,17 @@
 		leavingEndpoints:  set.NewCounter("sequoiadock_gateway_leaving_endpoints"),
 		endpointRefusals:  set.NewCounter("sequoiadock_gateway_endpoint_refusals"),
 		staleListRefusals: set.NewCounter("sequoiadock_gateway_stale_list_refusals"),
+		quotaRefused:      set.NewCounter(`sequoiadock_gateway_quota_refusals{outcome="over"}`),
+		quotaUnanswered:   set.NewCounter(`sequoiadock_gateway_quota_refusals{outcome="unanswered"}`),
+		quotaGranted:      set.NewCounter(`sequoiadock_gateway_quota_calls{outcome="granted"}`),
+		quotaFailed:       set.NewCounter(`sequoiadock_gateway_quota_calls{outcome="failed"}`),
+		quotaWaitSeconds:  set.NewHistogram("sequoiadock_gateway_quota_wait_seconds"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
 		tableSeconds:      set.NewHistogram("sequoiadock_gateway_table_seconds"),
 	}
 	set.NewGauge("sequoiadock_gateway_running", func() float64 { return float64(m.running.Load()) })
+	set.NewGauge("sequoiadock_gateway_quota_reserved_units", g.quotas.reserved)
 	set.NewGauge("sequoiadock_gateway_response_bytes", func() float64 { return float64(g.responseMemory.UsedBytes()) })
 	set.NewGauge("sequoiadock_gateway_connections", func() float64 { return float64(g.pool.OpenConnections()) })
 	set.NewGauge("sequoiadock_gateway_version", func() float64 {
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -43,6 +43,7 @@
 func (x *request) requestPrefill(e *sqplace.Endpoint) (handle string, reached bool, err error) {
 	sentAt := sqclock.Now()
 	reply, err := x.g.pool.Do(x.ctx, x.newCall(e, sqattempt.SendParams{Prefill: true}))
+	x.recordQuotaSent(err)
 	if err != nil {
 		return "", x.connectionFailure(err).reached, err
 	}
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -78,6 +78,10 @@
 	// memory is reserved for what is kept of responses.
 	memory *sqmemory.Reservation
 	stream *stream
+	// quotaUnits is what was charged to the quota of the team, and quotaSpent is set once a
+	// send may have reached an endpoint.
+	quotaUnits uint64
+	quotaSpent bool
 }
 
 // handle admits one request of a caller and sends it to endpoints.
@@ -87,6 +91,7 @@
 	x := &request{g: g, w: w, r: r, receivedAt: sqclock.Now(), attempt: g.cfg.Wire.ParseAttempt(r.Header),
 		memory: g.responseMemory.NewReservation()}
 	defer x.memory.Release()
+	defer x.giveBackQuota()
 	if !x.admit() {
 		return
 	}
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -15,7 +15,7 @@
 // final response.
 func (x *request) dispatch() {
 	// No endpoints are ordered for requests that are not sent, so this comes first.
-	if x.refuseQuarantined(x.receivedAt) {
+	if x.refuseQuarantined(x.receivedAt) || !x.chargeQuota() {
 		return
 	}
 	x.g.mu.Lock()
@@ -244,6 +244,9 @@
 		now.Sub(sentAt).Milliseconds(), res.reason, !x.sendFirstEventAt.IsZero(), x.attempt.Prompt.SharedParts(), x.content, e.Version())
 	if step == sqattempt.Resend {
 		x.g.metrics.resends.Inc()
+		if res.outcome == sqattempt.Broken || res.outcome == sqattempt.Failed {
+			x.chargeRetry()
+		}
 		return false
 	}
 	if step == sqattempt.PassOn && x.stream == nil {
--- a/app/sqgateway/table.go
+++ b/app/sqgateway/table.go
@@ -141,6 +141,7 @@
 	g.mu.Lock()
 	g.placer.SetServices(t.Services())
 	g.mu.Unlock()
+	g.quotas.setTable(t)
 	g.freshness.Hold(t.Version())
 	v := *g.view.Load()
 	v.table, v.freshUntil, v.outdated = t, g.freshness.Until(), false
--- a/app/sqprocess/members.go
+++ b/app/sqprocess/members.go
@@ -9,6 +9,7 @@
 	"sequoiadock/app/sqgateway"
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqerror"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqsettings"
@@ -41,7 +42,7 @@
 	err := sqcoordinator.Run(ctx, sqcoordinator.Config{
 		Name: n.Name(), Zone: n.Zone(), InternalAddress: n.InternalAddress(), OperatorAddress: settings.OperatorAddress(), DataFolder: settings.DataFolder(),
 		Seeds: settings.Cluster().Seeds(), FirstStart: settings.FirstStart(), TargetVoters: settings.Cluster().Voters(),
-		FreshnessLease: b.RevocationTimeout() * freshnessLeasePercent / 100, TakeoverDelay: b.TakeoverDelay(), FencedReceivers: b.FencedReceivers(), BillingWindow: b.BillingWindow(), Wire: sqadapter.Wire{},
+		FreshnessLease: b.RevocationTimeout() * freshnessLeasePercent / 100, TakeoverDelay: b.TakeoverDelay(), FencedReceivers: b.FencedReceivers(), BillingWindow: b.BillingWindow(), Quota: quotaBounds(b), Wire: sqadapter.Wire{},
 		NewPlatform: func(plain *http.Client, guarded func(term uint64) *http.Client) (sqcore.Platform, sqcore.Engines) {
 			client := sqadapter.NewClient(sqadapter.ClientConfig{Address: settings.PlatformAddress(), ReadClient: plain, LeaseClient: guarded, Wall: sqclock.Wall, Now: sqclock.Now})
 			return client, client
@@ -69,7 +70,7 @@
 		CallerAddress: settings.CallerAddress(), ReadinessAddress: settings.ReadinessAddress(), DirectoryAddress: settings.DirectoryAddress(), InternalAddress: n.InternalAddress(),
 		Seeds:         settings.Cluster().Seeds(),
 		Retry:         sqretry.Config{Ratio: b.RetryRatio(), ExtraRetries: b.ExtraRetries(), Window: b.RetryWindow()},
-		BillingWindow: b.BillingWindow(), StopGracePeriod: b.StopGracePeriod(), TableApplyTimeout: b.TableApplyTimeout(), DrainTimeout: b.DrainTimeout(), Wire: sqadapter.Wire{},
+		BillingWindow: b.BillingWindow(), StopGracePeriod: b.StopGracePeriod(), TableApplyTimeout: b.TableApplyTimeout(), DrainTimeout: b.DrainTimeout(), Quota: quotaBounds(b), Wire: sqadapter.Wire{},
 		DirectoryHandler: sqadapter.DirectoryHandler, ReadyHandler: sqadapter.ReadyHandler,
 		SeedUpdates: watchSettings(ctx, settingsWatch{log: log, role: "gateway", file: p.file, hup: p.hup, readSeeds: func() ([]string, []*sqerror.Error) {
 			s, faults := sqsettings.ReadGateway(p.file)
@@ -80,6 +81,11 @@
 	return reportExit(log, "gateway", n.Name(), err, p.stderr)
 }
 
+// quotaBounds returns how far all gateways together may exceed a team's quota.
+func quotaBounds(b sqsettings.Bounds) sqquota.Bounds {
+	return sqquota.Bounds{Window: b.QuotaWindow(), Overrun: b.QuotaOverrun(), Slack: b.QuotaSlack()}
+}
+
 // clusterSettings is implemented by settings with a cluster section.
 type clusterSettings interface {
 	Cluster() sqsettings.Cluster
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -31,6 +31,7 @@
 	CallWithheld               = Event{5027, Warn, "call to the platform or an engine not sent, the lease does not cover it", []string{"term", "leaseLeftMillis"}}
 	WatchdogUnavailable        = Event{5028, Warn, "the kernel has no timer that ends this process if it is paused during a call", []string{"error"}}
 	ProbeDecided               = Event{5025, Info, "gateway asked for one request with a trait whose quarantine has ended", []string{"kind", "service", "trait", "gateway", "granted", "waitMillis"}}
+	QuotasInForce              = Event{5040, Info, "quotas of teams in force at the lease holder", []string{"version", "teams"}}
 	StageRefused               = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
 
@@ -38,5 +39,5 @@
 	BootstrapFailed, MemberChanged, MemberChangeFailed, TableCommitted, TableRefused, TableNotCommitted,
 	GatewayFound, GatewayLeaving, GatewayLost, EndpointListChanged, EndpointListFailed, EndpointListRecovered,
 	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, TraitQuarantined, TraitReleased,
-	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten, ProbeDecided, HolderCallsWait, CallWithheld, WatchdogUnavailable, BeatNotEncoded,
+	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten, ProbeDecided, HolderCallsWait, CallWithheld, WatchdogUnavailable, BeatNotEncoded, QuotasInForce,
 }
--- a/core/sqevent/gateway.go
+++ b/core/sqevent/gateway.go
@@ -33,6 +33,8 @@
 	ProbeAsked           = Event{6029, Info, "asked for one request with a trait whose quarantine has ended", []string{"request", "kind", "service", "trait", "granted", "error"}}
 	BeatNotDecoded       = Event{6031, Error, "part of the response to a heartbeat cannot be decoded", []string{"part", "error"}}
 	StreamTakenUp        = Event{6030, Info, "caller takes up a stream that began at another gateway", []string{"request", "resumes", "service", "version", "error"}}
+	QuotaExceeded        = Event{6040, Info, "team is over its quota, its requests are refused with 429", []string{"team", "units", "retryAfterMillis"}}
+	QuotaNotAnswered     = Event{6041, Warn, "lease holder did not answer a call for units of a quota, requests wait", []string{"team", "waiting", "address", "error"}}
 	ResponseMemoryShort  = Event{6028, Warn, "no memory for a long event of a response", []string{"request", "endpoint", "usedBytes"}}
 )
 
@@ -42,4 +44,5 @@
 	PrefillFailed, WaitedForHolder, CallerNotReset, EndpointCrashed, QuarantineInForce,
 	EndpointLeaving, DepartureForgotten, EndpointRefuses, EndpointRefusalEnded, RetryAfterUnreadable,
 	TablePieceFailed, TableOutdated, EndpointLimited, EndpointLimitEnded, LimitUnreadable, ResponseMemoryShort, ProbeAsked, StreamTakenUp, BeatNotDecoded,
+	QuotaExceeded, QuotaNotAnswered,
 }
--- /dev/null
+++ b/core/sqquota/account.go
@@ -0,0 +1,248 @@
+package sqquota
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Verdict says whether a request may be sent.
+type Verdict int
+
+// Verdicts.
+const (
+	// Charged means that the request may be sent.
+	Charged Verdict = iota
+	// Ask means that the lease holder has to be asked for the units.
+	Ask
+	// Over means that the team is over its quota.
+	Over
+)
+
+// Account is a gateway's part. It is not safe for concurrent use.
+type Account struct {
+	bounds   Bounds
+	gateways int
+	teams    map[string]*teamAccount
+	// heardAt is when the last answered heartbeat was sent, term that of the holder that
+	// answered it, and termAt when its first answer came.
+	heardAt time.Time
+	term    uint64
+	termAt  time.Time
+}
+
+// teamAccount is the account of one team.
+type teamAccount struct {
+	quota Quota
+	// size is how many units the reserve holds at most. reserve is negative after charges
+	// without a check.
+	size, reserve int64
+	// returned counts the units that were given back since the process started, reported is
+	// its value in the last heartbeat that was answered, and reportedTerm the term of that.
+	returned, reported, reportedTerm uint64
+	// refusedUntil is until when the holder is not asked again. enoughAt is when the bucket
+	// has refusedUnits if nobody else is given any.
+	refusedUntil, enoughAt time.Time
+	refusedUnits           uint64
+}
+
+// NewAccount returns an account without quotas.
+func NewAccount(b Bounds) *Account { return &Account{bounds: b, teams: map[string]*teamAccount{}} }
+
+// SetQuotas replaces the quotas of all teams.
+func (a *Account) SetQuotas(quotas map[string]Quota) {
+	maps.DeleteFunc(a.teams, func(team string, _ *teamAccount) bool {
+		_, ok := quotas[team]
+		return !ok
+	})
+	for team, q := range quotas {
+		t := a.teams[team]
+		if t == nil {
+			t = &teamAccount{}
+			a.teams[team] = t
+		}
+		t.quota = q
+		a.resize(t)
+	}
+}
+
+// SetGateways sets how many gateways share the reserves; 0 means that it is not known.
+func (a *Account) SetGateways(n int) {
+	if n == a.gateways {
+		return
+	}
+	a.gateways = n
+	for _, t := range a.teams {
+		a.resize(t)
+	}
+}
+
+// resize sets the size of the reserve and drops what it holds beyond that.
+func (a *Account) resize(t *teamAccount) {
+	t.size = int64(a.bounds.reserveAt(t.quota, a.gateways))
+	t.reserve = min(t.reserve, t.size)
+}
+
+// Limited returns how many teams have a quota.
+func (a *Account) Limited() int { return len(a.teams) }
+
+// Charge charges a request to the reserve of its team if that holds the units. The time until
+// the request would be admitted is returned with Over.
+func (a *Account) Charge(now time.Time, team string, units uint64) (Verdict, time.Duration) {
+	t := a.teams[team]
+	if t == nil || units == 0 {
+		return Charged, 0
+	}
+	if units <= uint64(max(0, t.reserve)) && now.Sub(a.heardAt) < reserveTerm {
+		t.reserve -= int64(units)
+		return Charged, 0
+	}
+	if now.Before(t.refusedUntil) {
+		return Over, t.retryAfter(now, units)
+	}
+	return Ask, 0
+}
+
+// ChargeUnchecked charges the retry of a request that may have run.
+func (a *Account) ChargeUnchecked(team string, units uint64) {
+	if t := a.teams[team]; t != nil {
+		t.reserve -= int64(units)
+	}
+}
+
+// GiveBack takes back the units of a request that was not sent, or of a grant that nobody
+// waits for any more.
+func (a *Account) GiveBack(team string, units uint64) {
+	t := a.teams[team]
+	if t == nil {
+		return
+	}
+	kept := min(units, uint64(max(0, t.size-t.reserve)))
+	t.reserve += int64(kept)
+	t.returned += units - kept
+}
+
+// MaySpend reports whether units that the holder was asked for at askedAt may be spent.
+func MaySpend(askedAt, now time.Time) bool { return now.Sub(askedAt) < grantTerm }
+
+// IsNewHolder reports whether the lease holder first answered a short time ago.
+func (a *Account) IsNewHolder(now time.Time) bool { return now.Sub(a.termAt) < newHolderTime }
+
+// Refuse records that the holder refused units, and returns whether the request should wait
+// and be asked for again because the holder is new.
+func (a *Account) Refuse(now time.Time, team string, units uint64, retryAfter time.Duration) (waits bool) {
+	t := a.teams[team]
+	if t == nil || retryAfter <= 0 {
+		return false
+	}
+	t.enoughAt, t.refusedUnits = now.Add(retryAfter), units
+	if a.IsNewHolder(now) {
+		return true
+	}
+	pause := max(min(retryAfter, maxRefusalTerm), min(time.Duration(a.gateways)*refusalPerGateway, maxRefusalTerm))
+	t.refusedUntil = now.Add(pause)
+	return false
+}
+
+// RetryAfter returns the time until a request would be admitted, by the last refusal. It is 0
+// if the request is larger than any that is admitted.
+func (a *Account) RetryAfter(now time.Time, team string, units uint64) time.Duration {
+	t := a.teams[team]
+	if t == nil || float64(units) > a.bounds.maxRequest(t.quota) {
+		return 0
+	}
+	return t.retryAfter(now, units)
+}
+
+func (t *teamAccount) retryAfter(now time.Time, units uint64) time.Duration {
+	difference := min(float64(units), t.quota.capacity()) - min(float64(t.refusedUnits), t.quota.capacity())
+	wait := t.enoughAt.Sub(now) + time.Duration(difference/t.quota.RatePerS*float64(time.Second))
+	return max(wait, t.refusedUntil.Sub(now), time.Millisecond)
+}
+
+// Batch returns for how many of the waiting requests, in order, the holder is asked at once:
+// no more than a bucket holds, but at least one.
+func (a *Account) Batch(team string, waiting []uint64) int {
+	t := a.teams[team]
+	if t == nil {
+		return len(waiting)
+	}
+	left := t.quota.capacity()
+	for i, units := range waiting {
+		if left -= float64(units); left < 0 {
+			return max(1, i)
+		}
+	}
+	return len(waiting)
+}
+
+// Fitting returns how many of the waiting requests, in order, the bucket held enough for when
+// the holder refused the sum of them.
+func (a *Account) Fitting(team string, waiting []uint64, retryAfter time.Duration) int {
+	t := a.teams[team]
+	if t == nil || retryAfter <= 0 {
+		return 0
+	}
+	var sum float64
+	for _, units := range waiting {
+		sum += float64(units)
+	}
+	held := min(sum, t.quota.capacity()) - retryAfter.Seconds()*t.quota.RatePerS
+	for i, units := range waiting {
+		if held -= float64(units); held < 0 {
+			return i
+		}
+	}
+	return len(waiting) - 1
+}
+
+// Reports returns what to tell the lease holder, sorted by team.
+func (a *Account) Reports() []Report {
+	var reports []Report
+	for team, t := range a.teams {
+		wanted := max(0, t.size-t.reserve)
+		if wanted == 0 && t.returned == t.reported && t.reportedTerm == a.term {
+			continue
+		}
+		reports = append(reports, Report{Team: team, Returned: t.returned, Wanted: uint64(wanted)})
+	}
+	slices.SortFunc(reports, func(x, y Report) int { return strings.Compare(x.Team, y.Team) })
+	return reports
+}
+
+// Apply applies the answer that came now to a heartbeat that was sent at sentAt with the
+// reports. Refills that come too late are dropped.
+func (a *Account) Apply(sentAt, now time.Time, term uint64, sent []Report, refills []Refill) {
+	if sentAt.Sub(a.heardAt) >= reserveTerm {
+		for _, t := range a.teams {
+			t.reserve = min(t.reserve, 0)
+		}
+	}
+	a.heardAt = sentAt
+	if term != a.term {
+		a.term, a.termAt = term, now
+	}
+	for _, r := range sent {
+		if t := a.teams[r.Team]; t != nil {
+			t.reported, t.reportedTerm = r.Returned, term
+		}
+	}
+	if !MaySpend(sentAt, now) {
+		return
+	}
+	for _, r := range refills {
+		if t := a.teams[r.Team]; t != nil {
+			t.reserve = min(t.reserve+int64(r.Units), t.size)
+		}
+	}
+}
+
+// Reserved returns how many units the reserves hold.
+func (a *Account) Reserved() int64 {
+	var sum int64
+	for _, t := range a.teams {
+		sum += max(0, t.reserve)
+	}
+	return sum
+}
--- a/core/sqtable/config.go
+++ b/core/sqtable/config.go
@@ -131,6 +131,19 @@
 	// Priority overrides the priority of the route if HasPriority is true.
 	Priority    int
 	HasPriority bool
+	Quota       Quota
+}
+
+// Quota limits what the requests of a team may use, over all gateways. A RatePerS of 0 means
+// no limit.
+type Quota struct {
+	// RatePerS and Burst are in units: tokens if CountsTokens is true, requests otherwise.
+	RatePerS float64
+	Burst    float64
+	// CountsTokens is true if a request counts as the tokens that its caller announces, or
+	// as PlainTokens if it announces none.
+	CountsTokens bool
+	PlainTokens  float64
 }
 
 // Limits are the limits on what callers may send.
--- a/core/sqtable/sqtable.go
+++ b/core/sqtable/sqtable.go
@@ -17,6 +17,8 @@
 	longestPrefix int
 	services      map[string]*Service
 	teamsByKey    map[string]*Team
+	// quotas holds the quotas of the teams that have one, by name. It is nil if none has.
+	quotas map[string]Quota
 	// top maps each service to the most urgent priority (the lowest number)
 	// among its routes.
 	top map[string]int
@@ -58,6 +60,9 @@
 	if c.Name == "" {
 		return invalid("a team has no name")
 	}
+	if err := t.addQuota(c); err != nil {
+		return err
+	}
 	team := &Team{cfg: c}
 	for _, k := range c.Keys {
 		if owner := t.teamsByKey[k]; owner != nil && owner.cfg.Name != c.Name {
