--- a/app/sqcoordinator/quota.go
+++ b/app/sqcoordinator/quota.go
@@ -54,7 +54,7 @@
 	} else {
 		c.quotaRefused.Inc()
 	}
-	return &sqrpc.GrantQuotaResponse{Granted: a.Granted, RetryAfterMillis: uint32((a.RetryAfter + time.Millisecond - 1) / time.Millisecond)}, nil
+	return &sqrpc.GrantQuotaResponse{Granted: a.Granted, RetryAfterMillis: uint32((a.RetryAfter + time.Millisecond - 1) / time.Millisecond), Term: t.term}, nil
 }
 
 // exchangeQuotas credits the units that a gateway gave back and sets what its reserves are
--- a/app/sqgateway/quotaask.go
+++ b/app/sqgateway/quotaask.go
@@ -127,6 +127,7 @@
 	// The time is read with the lock held: a pause before it must not make old units valid.
 	now := sqclock.Now()
 	queue.failed = false
+	q.account.RecordTerm(now, res.GetTerm())
 	retryAfter := time.Duration(res.GetRetryAfterMillis()) * time.Millisecond
 	switch {
 	case res.GetGranted() && !sqquota.MaySpend(askedAt, now):
--- a/core/sqquota/account.go
+++ b/core/sqquota/account.go
@@ -126,6 +126,13 @@
 // MaySpend reports whether units that the holder was asked for at askedAt may be spent.
 func MaySpend(askedAt, now time.Time) bool { return now.Sub(askedAt) < grantTerm }
 
+// RecordTerm records the term of the holder that has answered a call or a heartbeat.
+func (a *Account) RecordTerm(now time.Time, term uint64) {
+	if term > a.term {
+		a.term, a.termAt = term, now
+	}
+}
+
 // IsNewHolder reports whether the lease holder first answered a short time ago.
 func (a *Account) IsNewHolder(now time.Time) bool { return now.Sub(a.termAt) < newHolderTime }
 
@@ -220,9 +227,7 @@
 		}
 	}
 	a.heardAt = sentAt
-	if term != a.term {
-		a.term, a.termAt = term, now
-	}
+	a.RecordTerm(now, term)
 	for _, r := range sent {
 		if t := a.teams[r.Team]; t != nil {
 			t.reported, t.reportedTerm = r.Returned, term
