--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -43,6 +43,8 @@
 	probes int
 	// origins holds where streams began, by attempt.
 	origins map[string]*sqrpc.StreamOrigin
+	// answerQuota answers calls for units of a quota. Without it, all are granted.
+	answerQuota func(*sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error)
 }
 
 // Beat implements sqrpc.Coordinator.
@@ -128,6 +130,9 @@
 }
 
 // GrantQuota implements sqrpc.Coordinator.
-func (h *fakeLeaseHolder) GrantQuota(context.Context, *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
+func (h *fakeLeaseHolder) GrantQuota(_ context.Context, req *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
+	if h.answerQuota != nil {
+		return h.answerQuota(req)
+	}
 	return &sqrpc.GrantQuotaResponse{Granted: true}, nil
 }
--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -16,6 +16,7 @@
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqrpc"
@@ -98,14 +99,14 @@
 }
 
 // startTestSystem returns a gateway that has just started and need not be ready.
-func startTestSystem(t *testing.T, h *fakeLeaseHolder) *testSystem {
+func startTestSystem(t testing.TB, h *fakeLeaseHolder) *testSystem {
 	t.Helper()
 	return startTestSystemOnLink(t, h, nil)
 }
 
 // startTestSystemOnLink is startTestSystem with the link over which the lease holder
 // sends its responses. A nil link takes no time.
-func startTestSystemOnLink(t *testing.T, h *fakeLeaseHolder, l *link) *testSystem {
+func startTestSystemOnLink(t testing.TB, h *fakeLeaseHolder, l *link) *testSystem {
 	t.Helper()
 	mux := http.NewServeMux()
 	service := sqrpc.NewCoordinatorServer(h)
@@ -120,6 +121,7 @@
 		DrainTimeout: testDrainTimeout,
 		Name:         "g", Zone: "a", CallerAddress: "10.0.0.1:1", Seeds: []string{coordinatorServer.Listener.Addr().String()},
 		Retry:         sqretry.Config{Ratio: 10, Window: 10 * time.Second},
+		Quota:         sqquota.Bounds{Window: 8 * time.Second, Overrun: 0.1, Slack: 4000},
 		BillingWindow: 5 * time.Second, StopGracePeriod: 8 * time.Second, TableApplyTimeout: tableApplyBound, Wire: testWire{},
 		Log:              sqlog.New(sqlog.Config{Name: "g", Output: logs, Level: sqevent.Info}),
 		ReadyHandler:     func(func() bool) http.Handler { return http.NotFoundHandler() },
@@ -140,7 +142,7 @@
 }
 
 // waitFor waits until the condition holds, for 5 s at most.
-func waitFor(t *testing.T, condition func() bool) {
+func waitFor(t testing.TB, condition func() bool) {
 	t.Helper()
 	for range 500 {
 		if condition() {
--- a/core/sqtable/sqtable_test.go
+++ b/core/sqtable/sqtable_test.go
@@ -1,6 +1,7 @@
 package sqtable
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -110,3 +111,13 @@
 		assert.Equal(t, r.Retryable(), c.want, "%v", c)
 	}
 }
+
+// TestQuotaErrors fails if a quota that is not a finite number of at least 0 is accepted.
+func TestQuotaErrors(t *testing.T) {
+	for _, v := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1)} {
+		for _, q := range []Quota{{RatePerS: v}, {RatePerS: 1, Burst: v}, {RatePerS: 1, PlainTokens: v}} {
+			_, err := New(Config{Version: 1, Teams: []TeamConfig{{Name: "a", Quota: q}}})
+			assert.Equal(t, sqerror.KindOf(err), sqerror.BadRequest, "%v", q)
+		}
+	}
+}
