Quotas: gateways bound the sum of reserves; calls for units are limited

Cause: the holder gave out no reserves for 4 s after each join or change of the holder, and each small request was then a call; calls had no bound under overload. Change: a gateway has no reserve for 6 s after it joins, and applies a smaller number of gateways only 4 s after a new holder's first answer; two calls at once, as much time after each as it took; while no holder answers, calls wait for a heartbeat.

--- a/app/sqcoordinator/quota.go
+++ b/app/sqcoordinator/quota.go
@@ -64,7 +64,7 @@
 	if issuer.Limited() == 0 {
 		return
 	}
-	issuer.SetGateways(now, len(t.gateways.byName))
+	issuer.SetGateways(len(t.gateways.byName))
 	reports := make([]sqquota.Report, 0, len(req.GetQuotaReports()))
 	for _, r := range req.GetQuotaReports() {
 		reports = append(reports, sqquota.Report{Team: r.GetTeam(), Returned: r.GetReturnedUnits(), Wanted: r.GetWantedUnits()})
--- a/app/sqcoordinator/quota_test.go
+++ b/app/sqcoordinator/quota_test.go
@@ -84,7 +84,7 @@
 		reports = append(reports, sqquota.Report{Team: team, Wanted: 400})
 	}
 	issuer.SetQuotas(now, quotas)
-	issuer.SetGateways(now, 84)
+	issuer.SetGateways(84)
 	b.Run("grant", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
--- a/app/sqgateway/quota.go
+++ b/app/sqgateway/quota.go
@@ -22,6 +22,10 @@
 	quotaRounding = 10 * time.Millisecond
 	// quotaEventInterval is the least time between two events of one kind about a team.
 	quotaEventInterval = 10 * time.Second
+	// maxQuotaCalls is how many calls for units are under way at once. After each, as much time
+	// passes as it took, up to maxQuotaCallGap, so that a busy holder is called less often.
+	maxQuotaCalls   = 2
+	maxQuotaCallGap = 100 * time.Millisecond
 )
 
 // quotaGate charges requests to the quotas of their teams. It is safe for concurrent use.
@@ -29,8 +33,12 @@
 	mu      sync.Mutex
 	account *sqquota.Account
 	queues  map[string]*quotaQueue
-	// heard is closed at the next answer to a heartbeat.
-	heard chan struct{}
+	// heard is closed at the next answer to a heartbeat, and isDown set from a call that failed
+	// until then.
+	heard  chan struct{}
+	isDown bool
+	// calls limits the calls that are under way for all teams.
+	calls chan struct{}
 }
 
 // quotaQueue holds the requests of a team that wait for the lease holder's answer, in order.
@@ -61,7 +69,8 @@
 }
 
 func newQuotaGate(b sqquota.Bounds) *quotaGate {
-	return &quotaGate{account: sqquota.NewAccount(b), queues: map[string]*quotaQueue{}, heard: make(chan struct{})}
+	return &quotaGate{account: sqquota.NewAccount(b), queues: map[string]*quotaQueue{}, heard: make(chan struct{}),
+		calls: make(chan struct{}, maxQuotaCalls)}
 }
 
 // setTable puts the quotas of a routing table in force.
@@ -180,11 +189,11 @@
 	q := g.quotas
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if n := int(res.GetGatewayCount()); n > 0 {
-		q.account.SetGateways(n)
-	}
 	// The time is read with the lock held: a pause before it must not make old units valid.
-	q.account.Apply(sentAt, sqclock.Now(), res.GetTerm(), sent, refills)
+	now := sqclock.Now()
+	q.account.Apply(sentAt, now, res.GetTerm(), sent, refills)
+	q.account.SetGateways(now, int(res.GetGatewayCount()))
+	q.isDown = false
 	close(q.heard)
 	q.heard = make(chan struct{})
 }
--- a/app/sqgateway/quotaask.go
+++ b/app/sqgateway/quotaask.go
@@ -63,14 +63,19 @@
 // at a time, until none waits.
 func (g *gateway) askForQuota(team string, queue *quotaQueue) {
 	for {
+		g.quotas.awaitHolder()
+		g.quotas.calls <- struct{}{}
 		batch, units := g.quotas.nextBatch(sqclock.Now(), team, queue)
 		if len(batch) == 0 {
+			<-g.quotas.calls
 			return
 		}
 		askedAt := sqclock.Now()
 		address := g.locator.Holder()
 		client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.coordinatorClient)
 		res, err := client.GrantQuota(context.Background(), &sqrpc.GrantQuotaRequest{Gateway: g.cfg.Name, Run: g.runID, Team: team, Units: units})
+		gap := min(sqclock.Now().Sub(askedAt), maxQuotaCallGap)
+		time.AfterFunc(gap, func() { <-g.quotas.calls })
 		if err != nil {
 			g.pauseQuotaCalls(team, queue, address, len(batch), sqrpc.FromTwirp(err))
 			continue
@@ -81,6 +86,23 @@
 	}
 }
 
+// awaitHolder waits after a call that failed until a heartbeat has been answered, but not for
+// long. Heartbeats look for the holder at a rate that coordinators can bear.
+func (q *quotaGate) awaitHolder() {
+	q.mu.Lock()
+	isDown, heard := q.isDown, q.heard
+	q.mu.Unlock()
+	if !isDown {
+		return
+	}
+	timer := time.NewTimer(maxQuotaPause)
+	defer timer.Stop()
+	select {
+	case <-heard:
+	case <-timer.C:
+	}
+}
+
 // nextBatch answers the waiting requests that need no call, and returns those that the next
 // call is for, with the sum of their units. Without any, the queue's goroutine ends.
 func (q *quotaGate) nextBatch(now time.Time, team string, queue *quotaQueue) (batch []*quotaWaiter, sum uint64) {
@@ -165,8 +187,7 @@
 	queue.waiters = slices.DeleteFunc(queue.waiters, func(w *quotaWaiter) bool { return slices.Contains(batch, w) })
 }
 
-// pauseQuotaCalls waits after a call that failed until a heartbeat has been answered, since
-// heartbeats look for the holder at a rate that coordinators can bear.
+// pauseQuotaCalls records a call that failed and waits before the next one.
 func (g *gateway) pauseQuotaCalls(team string, queue *quotaQueue, address string, waiting int, err error) {
 	now := sqclock.Now()
 	if kind := sqerror.KindOf(err); kind == sqerror.Unreachable || kind == sqerror.NotHolder {
@@ -175,21 +196,14 @@
 	g.metrics.quotaFailed.Inc()
 	q := g.quotas
 	q.mu.Lock()
-	queue.failed = true
+	queue.failed, q.isDown = true, true
 	isLogged := queue.unansweredAt.IsZero() || now.Sub(queue.unansweredAt) >= quotaEventInterval
 	if isLogged {
 		queue.unansweredAt = now
 	}
-	heard := q.heard
 	q.mu.Unlock()
 	if isLogged {
 		g.log.Event(sqevent.QuotaNotAnswered, team, waiting, address, err.Error())
 	}
 	sqclock.Sleep(context.Background(), sqheartbeat.RetryInterval(g.view.Load().gatewayCount, 1, rand.Float64()))
-	timer := time.NewTimer(maxQuotaPause)
-	defer timer.Stop()
-	select {
-	case <-heard:
-	case <-timer.C:
-	}
 }
--- a/core/sqquota/account.go
+++ b/core/sqquota/account.go
@@ -30,6 +30,9 @@
 	heardAt time.Time
 	term    uint64
 	termAt  time.Time
+	// isJoining is set until joinDelay after joinedAt, the first answer after none for long.
+	isJoining bool
+	joinedAt  time.Time
 }
 
 // teamAccount is the account of one team.
@@ -67,12 +70,17 @@
 	}
 }
 
-// SetGateways sets how many gateways share the reserves; 0 means that it is not known.
-func (a *Account) SetGateways(n int) {
-	if n == a.gateways {
+// SetGateways sets how many gateways share the reserves, as the holder says; 0 means that it
+// does not know.
+func (a *Account) SetGateways(now time.Time, n int) {
+	if n == 0 || n == a.gateways || n < a.gateways && now.Sub(a.termAt) < reserveTerm {
 		return
 	}
 	a.gateways = n
+	a.resizeAll()
+}
+
+func (a *Account) resizeAll() {
 	for _, t := range a.teams {
 		a.resize(t)
 	}
@@ -80,7 +88,10 @@
 
 // resize sets the size of the reserve and drops what it holds beyond that.
 func (a *Account) resize(t *teamAccount) {
-	t.size = int64(a.bounds.reserveAt(t.quota, a.gateways))
+	t.size = 0
+	if !a.isJoining {
+		t.size = int64(a.bounds.reserveAt(t.quota, a.gateways))
+	}
 	t.reserve = min(t.reserve, t.size)
 }
 
@@ -221,10 +232,13 @@
 // Apply applies the answer that came now to a heartbeat that was sent at sentAt with the
 // reports. Refills that come too late are dropped.
 func (a *Account) Apply(sentAt, now time.Time, term uint64, sent []Report, refills []Refill) {
-	if sentAt.Sub(a.heardAt) >= reserveTerm {
-		for _, t := range a.teams {
-			t.reserve = min(t.reserve, 0)
-		}
+	switch {
+	case sentAt.Sub(a.heardAt) >= reserveTerm:
+		a.isJoining, a.joinedAt = true, now
+		a.resizeAll()
+	case a.isJoining && now.Sub(a.joinedAt) >= joinDelay:
+		a.isJoining = false
+		a.resizeAll()
 	}
 	a.heardAt = sentAt
 	a.RecordTerm(now, term)
--- a/core/sqquota/bench_test.go
+++ b/core/sqquota/bench_test.go
@@ -17,8 +17,10 @@
 		quotas[team] = Quota{RatePerS: 500_000, Burst: 500_000}
 	}
 	a.SetQuotas(quotas)
-	a.SetGateways(84)
-	a.Apply(now, now, 1, nil, nil)
+	for _, at := range []time.Time{now.Add(-joinDelay), now.Add(-joinDelay / 2), now} {
+		a.Apply(at, at, 1, nil, nil)
+	}
+	a.SetGateways(now, 84)
 	var refills []Refill
 	for _, r := range a.Reports() {
 		refills = append(refills, Refill{r.Team, r.Wanted})
--- a/core/sqquota/issuer.go
+++ b/core/sqquota/issuer.go
@@ -35,9 +35,8 @@
 	bounds Bounds
 	// startedAt is when the term began. Earlier holders may have given out all units until then.
 	startedAt time.Time
-	// gateways is the number of gateways that share the reserves, and raisedAt when it last grew.
+	// gateways is the number of gateways that share the reserves.
 	gateways int
-	raisedAt time.Time
 	buckets  map[string]*bucket
 	runs     map[string]*run
 }
@@ -62,7 +61,7 @@
 
 // NewIssuer returns the issuer of a term that began at startedAt.
 func NewIssuer(startedAt time.Time, b Bounds) *Issuer {
-	return &Issuer{bounds: b, startedAt: startedAt, raisedAt: startedAt, buckets: map[string]*bucket{}, runs: map[string]*run{}}
+	return &Issuer{bounds: b, startedAt: startedAt, buckets: map[string]*bucket{}, runs: map[string]*run{}}
 }
 
 // SetQuotas replaces the quotas of all teams. A new bucket has what its rate gives since the
@@ -90,12 +89,7 @@
 }
 
 // SetGateways sets how many gateways share the reserves.
-func (s *Issuer) SetGateways(now time.Time, n int) {
-	if n > s.gateways {
-		s.raisedAt = now
-	}
-	s.gateways = n
-}
+func (s *Issuer) SetGateways(n int) { s.gateways = n }
 
 // Limited returns how many teams have a quota.
 func (s *Issuer) Limited() int {
@@ -167,7 +161,7 @@
 			b.credit(now, previous, float64(report.Returned-returned))
 		}
 		r.returned[report.Team] = max(returned, report.Returned)
-		if n := s.refillReserve(now, b, report.Wanted); n > 0 {
+		if n := s.refillReserve(b, report.Wanted); n > 0 {
 			refills = append(refills, Refill{Team: report.Team, Units: n})
 		}
 	}
@@ -186,16 +180,13 @@
 
 // refillReserve takes from the bucket what a gateway's reserve is given. What was charged
 // without a check is taken in any case; reserves themselves leave a part of the bucket.
-func (s *Issuer) refillReserve(now time.Time, b *bucket, wanted uint64) uint64 {
+func (s *Issuer) refillReserve(b *bucket, wanted uint64) uint64 {
 	if s.gateways == 0 {
 		return 0
 	}
 	size := s.bounds.reserveAt(b.quota, s.gateways)
 	debt := max(wanted, size) - size
 	b.level -= float64(debt)
-	if now.Sub(s.raisedAt) < reserveTerm {
-		return debt
-	}
 	available := b.level - b.quota.capacity()*reserveFloorPercent/100
 	n := min(wanted-debt, uint64(max(0, available)))
 	b.level -= float64(n)
--- a/core/sqquota/model_test.go
+++ b/core/sqquota/model_test.go
@@ -41,6 +41,13 @@
 	quota             Quota
 }
 
+// modelBeatTerm is how long after a heartbeat a gateway counts, and modelCountDelay how long a
+// new holder does not tell the number.
+const (
+	modelBeatTerm   = 12 * time.Second
+	modelCountDelay = 2 * time.Second
+)
+
 type modelGateway struct {
 	account *Account
 	run     int
@@ -66,10 +73,13 @@
 	bounds Bounds
 	quota  Quota
 	// issuer is nil while there is no holder.
-	issuer   *Issuer
-	term     uint64
-	electAt  time.Time
-	gateways []*modelGateway
+	issuer  *Issuer
+	term    uint64
+	electAt time.Time
+	// startedAt is when the term began, and beatAt when each gateway's last heartbeat in it came.
+	startedAt time.Time
+	beatAt    map[int]time.Time
+	gateways  []*modelGateway
 	// demand is what the team asks for, as a multiple of its rate. If oneGateway is set, all
 	// requests come to the first gateway.
 	demand     float64
@@ -79,6 +89,7 @@
 	fullBuckets             bool
 	sent                    []modelSend
 	refused, unanswered     int
+	mostReserved            int64
 	admittedLarge, askCalls int
 }
 
@@ -105,6 +116,7 @@
 		start = start.Add(-time.Hour)
 	}
 	m.issuer, m.term = NewIssuer(start, m.bounds), m.term+1
+	m.startedAt, m.beatAt = m.now, map[int]time.Time{}
 	m.issuer.SetQuotas(m.now, map[string]Quota{"t": m.quota})
 }
 
@@ -159,8 +171,8 @@
 	if b := g.beat; b != nil && !m.now.Before(b.arrivesAt) {
 		g.beat = nil
 		g.account.SetQuotas(map[string]Quota{"t": b.quota})
-		g.account.SetGateways(b.gateways)
 		g.account.Apply(b.sentAt, m.now, b.term, b.reports, b.refills)
+		g.account.SetGateways(m.now, b.gateways)
 	}
 	if g.beat != nil || m.now.Before(g.nextBeat) {
 		return
@@ -169,8 +181,17 @@
 	if !m.reaches(g) {
 		return
 	}
-	b := &modelBeat{sentAt: m.now, term: m.term, reports: g.account.Reports(), gateways: len(m.gateways), quota: m.quota}
-	m.issuer.SetGateways(m.now, len(m.gateways))
+	b := &modelBeat{sentAt: m.now, term: m.term, reports: g.account.Reports(), quota: m.quota}
+	m.beatAt[i] = m.now
+	for other, at := range m.beatAt {
+		if m.now.Sub(at) > modelBeatTerm {
+			delete(m.beatAt, other)
+		}
+	}
+	m.issuer.SetGateways(len(m.beatAt))
+	if m.now.Sub(m.startedAt) >= modelCountDelay {
+		b.gateways = len(m.beatAt)
+	}
 	for range 1 + m.rng.IntN(2) {
 		// A duplicate has the same content; the answer to one of them arrives.
 		b.refills = m.issuer.Exchange(m.now, fmt.Sprint(i, "/", g.run), b.reports)
@@ -317,6 +338,13 @@
 func (m *model) run(d time.Duration) {
 	for end := m.now.Add(d); m.now.Before(end); {
 		m.step()
+		var reserved int64
+		for _, g := range m.gateways {
+			if m.now.Sub(g.account.heardAt) < reserveTerm {
+				reserved += g.account.Reserved()
+			}
+		}
+		m.mostReserved = max(m.mostReserved, reserved)
 	}
 }
 
@@ -338,6 +366,7 @@
 					m.run(24 * time.Second)
 					got, limit := m.worst(start), allowed(b, m.quota)
 					assert.Assert(t, got <= limit, "%d gateways, rate %v, slack %v, seed %d: %d in a window, %d allowed", gateways, rate, b.Slack, seed, got, limit)
+					assert.Assert(t, float64(m.mostReserved) <= b.reserve(m.quota), "%d gateways, rate %v, seed %d: reserves of %d", gateways, rate, seed, m.mostReserved)
 					if !m.faults {
 						assert.Assert(t, float64(got) >= 0.85*rate*8, "%d gateways, rate %v: at most %d in a window", gateways, rate, got)
 					}
--- a/core/sqquota/sqquota.go
+++ b/core/sqquota/sqquota.go
@@ -16,10 +16,14 @@
 	// grantTerm is how long units may be spent after the gateway asked for them. What is spent
 	// in a window was therefore granted within the window or grantTerm before it.
 	grantTerm = 500 * time.Millisecond
-	// reserveTerm is how long after a heartbeat that was answered the reserve may be spent.
-	// The holder gives out no reserves for as long after the number of gateways has grown, so
-	// that all gateways have heard the new number or hold no reserve.
+	// reserveTerm is how long after a heartbeat that was answered the reserve may be spent. A
+	// gateway applies a smaller number of gateways only so long after the first answer of a
+	// holder, which may not have heard of all yet.
 	reserveTerm = 4 * time.Second
+	// joinDelay is how long after its first heartbeat, or the first one after reserveTerm
+	// without any, a gateway has no reserve. Until then all others have heard the new number
+	// of gateways, which a new holder tells after 2 s, or hold no reserve.
+	joinDelay = reserveTerm + 2*time.Second
 	// slackPercent is the part of the slack that all reserves together take. The rest covers
 	// requests larger than the burst and retries that are charged without a check.
 	slackPercent = 80
