Quotas: gateways serve as before while the holder runs an earlier version

Cause: a holder of an earlier version does not know GrantQuota, so that during an upgrade teams with a quota were refused, and the failed calls made heartbeats leave the holder. Change: such a call counts as granted; calls report no unreachable holder. Measured: go test -race ./app/sqgateway -run 'Quota|Waiting|NewHolderHas|HolderWithout' passes.

--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -43,7 +43,7 @@
 	probes int
 	// origins holds where streams began, by attempt.
 	origins map[string]*sqrpc.StreamOrigin
-	// answerQuota answers calls for units of a quota. Without it, all are granted.
+	// answerQuota answers calls for units of a quota. Without it, the call is not known.
 	answerQuota func(*sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error)
 }
 
@@ -131,8 +131,5 @@
 
 // GrantQuota implements sqrpc.Coordinator.
 func (h *fakeLeaseHolder) GrantQuota(_ context.Context, req *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
-	if h.answerQuota != nil {
-		return h.answerQuota(req)
-	}
-	return &sqrpc.GrantQuotaResponse{Granted: true}, nil
+	return h.answerQuota(req)
 }
--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -111,6 +111,10 @@
 	mux := http.NewServeMux()
 	service := sqrpc.NewCoordinatorServer(h)
 	mux.Handle(service.PathPrefix(), service)
+	if h.answerQuota == nil {
+		// The server of another service knows none of the paths of this one.
+		mux.Handle(service.PathPrefix()+"GrantQuota", sqrpc.NewPeerServer(nil))
+	}
 	coordinatorServer := httptest.NewUnstartedServer(mux)
 	if l != nil {
 		coordinatorServer.Listener = slowListener{Listener: coordinatorServer.Listener, link: l}
--- a/app/sqgateway/quota_test.go
+++ b/app/sqgateway/quota_test.go
@@ -19,7 +19,7 @@
 )
 
 // newQuotaSystem returns a gateway whose team has a quota of 10,000 tokens a second. The
-// holder answers calls for units with answer.
+// holder answers calls for units with answer; without it, it does not know the call.
 func newQuotaSystem(t testing.TB, answer func(*sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error), fleet ...sqplace.Endpoint) *testSystem {
 	t.Helper()
 	h := newFakeLeaseHolder(fleet...)
@@ -138,6 +138,15 @@
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 }
 
+// TestHolderWithoutQuotas fails if a gateway serves nothing while the holder still runs an earlier
+// version, which does not know the call.
+func TestHolderWithoutQuotas(t *testing.T) {
+	e := newFakeEndpoint(t, signedHandler("read"))
+	s := newQuotaSystem(t, nil, e.fleetEntry("i1", "ledger", sqplace.AnyStage))
+	res, _, _ := s.call(t, http.MethodGet, "/read/x", "")
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+}
+
 // BenchmarkQuotaCharge measures the charge of a request that the reserve covers, with the
 // lock and the clock, at a gateway with one team and with a table without quotas.
 func BenchmarkQuotaCharge(b *testing.B) {
--- a/app/sqgateway/quotaask.go
+++ b/app/sqgateway/quotaask.go
@@ -76,6 +76,10 @@
 		res, err := client.GrantQuota(context.Background(), &sqrpc.GrantQuotaRequest{Gateway: g.cfg.Name, Run: g.runID, Team: team, Units: units})
 		gap := min(sqclock.Now().Sub(askedAt), maxQuotaCallGap)
 		time.AfterFunc(gap, func() { <-g.quotas.calls })
+		if sqrpc.IsUnknownMethod(err) {
+			// During an upgrade, the holder may be of a version that keeps no quotas.
+			res, err = &sqrpc.GrantQuotaResponse{Granted: true}, nil
+		}
 		if err != nil {
 			g.pauseQuotaCalls(team, queue, address, len(batch), sqrpc.FromTwirp(err))
 			continue
@@ -190,7 +194,8 @@
 // pauseQuotaCalls records a call that failed and waits before the next one.
 func (g *gateway) pauseQuotaCalls(team string, queue *quotaQueue, address string, waiting int, err error) {
 	now := sqclock.Now()
-	if kind := sqerror.KindOf(err); kind == sqerror.Unreachable || kind == sqerror.NotHolder {
+	if sqerror.KindOf(err) == sqerror.NotHolder {
+		// Heartbeats find out who can be reached.
 		sqrpc.ReportFailure(now, g.locator, address, err)
 	}
 	g.metrics.quotaFailed.Inc()
--- a/io/sqrpc/errors.go
+++ b/io/sqrpc/errors.go
@@ -65,6 +65,13 @@
 	})
 }
 
+// IsUnknownMethod reports whether a call failed, with err as the twirp client returned it,
+// because the other process runs an earlier version that does not have the method.
+func IsUnknownMethod(err error) bool {
+	var t twirp.Error
+	return errors.As(err, &t) && t.Code() == twirp.BadRoute
+}
+
 // IsRetryable reports whether a call that failed with err, as FromTwirp returned it,
 // may succeed at another process or at the same one later.
 func IsRetryable(err error) bool {
