--- a/app/sqcoordinator/quota_test.go
+++ b/app/sqcoordinator/quota_test.go
@@ -31,8 +31,9 @@
 	})
 	_, err := ask(g.follower())
 	assert.Equal(t, sqerror.KindOf(sqrpc.FromTwirp(err)), sqerror.NotHolder)
-	g.stop(g.holder())
+	// The next term begins while the holder stops.
 	stoppedAt, granted := sqclock.Now(), 0
+	g.stop(g.holder())
 	g.waitFor("grants of the next holder", func() bool {
 		for {
 			res, err := ask(g.holder())
