Quotas: pauses while the holder is new are as long as after a refusal

Cause: while a new holder's bucket was empty, each gateway asked again after the time that the holder named, some milliseconds; the removal of answered requests was quadratic.

--- a/app/sqgateway/quota.go
+++ b/app/sqgateway/quota.go
@@ -56,8 +56,8 @@
 type quotaWaiter struct {
 	units  uint64
 	answer chan quotaAnswer
-	// left is set once the request no longer waits.
-	left bool
+	// left is set once the request no longer waits, answered once its answer was passed on.
+	left, answered bool
 }
 
 // quotaAnswer says whether a request may be sent, and otherwise when it would be admitted.
--- a/app/sqgateway/quotaask.go
+++ b/app/sqgateway/quotaask.go
@@ -14,8 +14,7 @@
 	"sequoiadock/io/sqrpc"
 )
 
-// maxQuotaPause is the time after which a call that failed, or was refused because the holder
-// is new, is repeated at the latest.
+// maxQuotaPause is the time after which a call that failed is repeated at the latest.
 const maxQuotaPause = 300 * time.Millisecond
 
 // awaitQuota waits until the lease holder has answered for the units of a request, for the
@@ -167,28 +166,30 @@
 				continue
 			}
 			w.answer <- quotaAnswer{verdict: sqquota.Charged, askedAt: askedAt}
+			w.answered = true
 		}
-		queue.remove(batch)
+		queue.removeAnswered()
 		return 0
 	}
 	if n := q.account.Fitting(team, unitsOf(batch), retryAfter); n > 0 {
 		queue.limit = n
 		return 0
 	}
-	if q.account.Refuse(now, team, units, retryAfter) {
-		return min(retryAfter, maxQuotaPause)
+	if pause := q.account.Refuse(now, team, units, retryAfter); pause > 0 {
+		return pause
 	}
 	g.logQuotaExceeded(now, team, queue, units, retryAfter)
 	for _, w := range batch {
 		w.answer <- quotaAnswer{verdict: sqquota.Over, retryAfter: q.account.RetryAfter(now, team, w.units)}
+		w.answered = true
 	}
-	queue.remove(batch)
+	queue.removeAnswered()
 	return 0
 }
 
-// remove removes the requests of a batch, which is in the same order.
-func (queue *quotaQueue) remove(batch []*quotaWaiter) {
-	queue.waiters = slices.DeleteFunc(queue.waiters, func(w *quotaWaiter) bool { return slices.Contains(batch, w) })
+// removeAnswered removes the requests that have been answered.
+func (queue *quotaQueue) removeAnswered() {
+	queue.waiters = slices.DeleteFunc(queue.waiters, func(w *quotaWaiter) bool { return w.answered })
 }
 
 // pauseQuotaCalls records a call that failed and waits before the next one.
--- a/core/sqquota/account.go
+++ b/core/sqquota/account.go
@@ -147,20 +147,20 @@
 // IsNewHolder reports whether the lease holder first answered a short time ago.
 func (a *Account) IsNewHolder(now time.Time) bool { return now.Sub(a.termAt) < newHolderTime }
 
-// Refuse records that the holder refused units, and returns whether the request should wait
-// and be asked for again because the holder is new.
-func (a *Account) Refuse(now time.Time, team string, units uint64, retryAfter time.Duration) (waits bool) {
+// Refuse records that the holder refused units. If the holder is new, it returns the time after
+// which the waiting requests should be asked for again, and otherwise 0.
+func (a *Account) Refuse(now time.Time, team string, units uint64, retryAfter time.Duration) time.Duration {
 	t := a.teams[team]
 	if t == nil || retryAfter <= 0 {
-		return false
+		return 0
 	}
 	t.enoughAt, t.refusedUnits = now.Add(retryAfter), units
+	pause := min(max(retryAfter, time.Duration(a.gateways)*refusalPerGateway), maxRefusalTerm)
 	if a.IsNewHolder(now) {
-		return true
+		return pause
 	}
-	pause := max(min(retryAfter, maxRefusalTerm), min(time.Duration(a.gateways)*refusalPerGateway, maxRefusalTerm))
 	t.refusedUntil = now.Add(pause)
-	return false
+	return 0
 }
 
 // RetryAfter returns the time until a request would be admitted, by the last refusal. It is 0
--- a/core/sqquota/model_test.go
+++ b/core/sqquota/model_test.go
@@ -315,8 +315,8 @@
 		if g.limit = g.account.Fitting("t", c.units, c.answer.RetryAfter); g.limit > 0 {
 			return
 		}
-		if g.account.Refuse(m.now, "t", sum, c.answer.RetryAfter) {
-			g.nextAsk = m.now.Add(min(c.answer.RetryAfter, 300*time.Millisecond))
+		if pause := g.account.Refuse(m.now, "t", sum, c.answer.RetryAfter); pause > 0 {
+			g.nextAsk = m.now.Add(pause)
 			return
 		}
 		m.refused += len(c.units)
