--- a/core/sqquota/sqquota_test.go
+++ b/core/sqquota/sqquota_test.go
@@ -84,3 +84,63 @@
 		}
 	}
 }
+
+func at(seconds float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// TestCredits fails if units that are given back are lost in a bucket that lacks them, or are
+// credited although the bucket was full meanwhile or an earlier holder may have credited them.
+func TestCredits(t *testing.T) {
+	s := NewIssuer(at(-100), tightBounds)
+	s.SetQuotas(at(0), map[string]Quota{"t": {RatePerS: 1000, Burst: 1000}})
+	returned := func(seconds float64, units uint64) {
+		s.Exchange(at(seconds), "g/1", []Report{{Team: "t", Returned: units}})
+	}
+	returned(0, 5000)
+	assert.Assert(t, s.Grant(at(0), "t", 1000).Granted)
+	assert.Equal(t, s.Grant(at(0.1), "t", 400), Answer{RetryAfter: 300 * time.Millisecond})
+	returned(0.1, 5300)
+	assert.Assert(t, !s.Grant(at(0.1), "t", 400).Granted, "the bucket was full at 0 s")
+	returned(0.9, 5301)
+	assert.Assert(t, s.Grant(at(0.9), "t", 900).Granted)
+	returned(0.9, 5601)
+	assert.Assert(t, s.Grant(at(0.9), "t", 300).Granted, "given back since 0.9 s")
+	assert.Equal(t, s.Grant(at(0.9), "t", 1_000_000), Answer{}, "larger than any that is granted")
+}
+
+// TestRefusals fails if a gateway does not tell each request of a refused sum its own time, or asks
+// again for what the bucket held not enough for.
+func TestRefusals(t *testing.T) {
+	a := NewAccount(modelBounds)
+	a.SetQuotas(map[string]Quota{"t": {RatePerS: 10_000, Burst: 10_000}})
+	a.RecordTerm(at(-10), 1)
+	assert.Equal(t, a.Batch("t", []uint64{4000, 5000, 3000}), 2)
+	// The bucket holds 9,000 - 0.3 s x 10,000 a second.
+	assert.Equal(t, a.Fitting("t", []uint64{4000, 5000}, 300*time.Millisecond), 1)
+	assert.Equal(t, a.Refuse(at(0), "t", 9000, 300*time.Millisecond), time.Duration(0))
+	verdict, retryAfter := a.Charge(at(0.1), "t", 8000)
+	assert.Equal(t, verdict, Over)
+	assert.Equal(t, retryAfter, 200*time.Millisecond, "8,000 are there after 0.2 s, and the holder is asked again then")
+	_, retryAfter = a.Charge(at(0.1), "t", 10_000)
+	assert.Equal(t, retryAfter, 300*time.Millisecond)
+	verdict, _ = a.Charge(at(0.3), "t", 8000)
+	assert.Equal(t, verdict, Ask)
+	assert.Assert(t, MaySpend(at(0), at(0.49)) && !MaySpend(at(0), at(0.5)))
+}
+
+// TestSmallerNumberOfGateways fails if a new holder that has not heard of all gateways makes the
+// reserves of the others grow.
+func TestSmallerNumberOfGateways(t *testing.T) {
+	a, _ := benchAccount(at(0))
+	size := func() int64 { return a.teams["team-0"].size }
+	usual := size()
+	a.Apply(at(1), at(1), 2, nil, nil)
+	a.SetGateways(at(1), 60)
+	assert.Equal(t, size(), usual)
+	a.SetGateways(at(1), 90)
+	assert.Assert(t, size() < usual)
+	a.Apply(at(5), at(5), 2, nil, nil)
+	a.SetGateways(at(5.1), 60)
+	assert.Equal(t, size(), int64(0), "nothing was heard for 4 s")
+}
