--- a/app/sqgateway/quota.go
+++ b/app/sqgateway/quota.go
@@ -46,8 +46,8 @@
 	waiters []*quotaWaiter
 	// limit is how many requests the next call is for at most, 0 for any number.
 	limit int
-	// isAsking is set while a goroutine asks the holder. failed is set if its last call failed.
-	isAsking, failed bool
+	// isAsking is set while a goroutine asks the holder, refused if the last call was refused.
+	isAsking, refused bool
 	// exceededAt and unansweredAt are when the events were last logged.
 	exceededAt, unansweredAt time.Time
 }
--- a/app/sqgateway/quotaask.go
+++ b/app/sqgateway/quotaask.go
@@ -51,7 +51,7 @@
 	}
 	w.left = true
 	queue.waiters = slices.DeleteFunc(queue.waiters, func(other *quotaWaiter) bool { return other == w })
-	if !queue.failed && q.account.IsNewHolder(sqclock.Now()) {
+	if queue.refused && q.account.IsNewHolder(sqclock.Now()) {
 		// The holder has answered that its new bucket does not hold the units yet.
 		return quotaAnswer{verdict: sqquota.Over, retryAfter: q.account.RetryAfter(sqclock.Now(), team, units)}
 	}
@@ -151,7 +151,7 @@
 	defer q.mu.Unlock()
 	// The time is read with the lock held: a pause before it must not make old units valid.
 	now := sqclock.Now()
-	queue.failed = false
+	queue.refused = !res.GetGranted()
 	q.account.RecordTerm(now, res.GetTerm())
 	retryAfter := time.Duration(res.GetRetryAfterMillis()) * time.Millisecond
 	switch {
@@ -202,7 +202,7 @@
 	g.metrics.quotaFailed.Inc()
 	q := g.quotas
 	q.mu.Lock()
-	queue.failed, q.isDown = true, true
+	queue.refused, q.isDown = false, true
 	isLogged := queue.unansweredAt.IsZero() || now.Sub(queue.unansweredAt) >= quotaEventInterval
 	if isLogged {
 		queue.unansweredAt = now
