Quotas: the benchmark of a charge covers reserve and call again

Cause: since gateways that join have no reserve, BenchmarkQuotaCharge measured calls only. Change: the benchmark's gateway has been in touch for long; a case for the call.

--- a/app/sqgateway/quota_test.go
+++ b/app/sqgateway/quota_test.go
@@ -13,6 +13,7 @@
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqtable"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqrpc"
@@ -147,25 +148,38 @@
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 }
 
-// BenchmarkQuotaCharge measures the charge of a request that the reserve covers, with the
-// lock and the clock, at a gateway with one team and with a table without quotas.
+// BenchmarkQuotaCharge measures the charge of a request with the locks and the clock, and the
+// return of its units: of one that the reserve covers, of one for which the holder is asked
+// over loopback, and of a team without a quota.
 func BenchmarkQuotaCharge(b *testing.B) {
 	s := newQuotaSystem(b, func(*sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
 		return &sqrpc.GrantQuotaResponse{Granted: true}, nil
 	})
-	x := &request{g: s.gateway, table: s.gateway.view.Load().table, team: "team", ctx: context.Background()}
-	x.attempt.Prompt.Tokens = 400
-	for _, limited := range []bool{true, false} {
-		b.Run(map[bool]string{true: "quota", false: "none"}[limited], func(b *testing.B) {
-			if !limited {
-				x.team = "other"
-			}
-			x.deadline = sqclock.Now().Add(time.Hour)
+	x := &request{g: s.gateway, table: s.gateway.view.Load().table, ctx: context.Background(), deadline: sqclock.Now().Add(time.Hour)}
+	// The gateway has been in touch for long.
+	q := s.gateway.quotas
+	q.mu.Lock()
+	q.account = sqquota.NewAccount(s.gateway.cfg.Quota)
+	q.mu.Unlock()
+	q.setTable(x.table)
+	q.mu.Lock()
+	for _, before := range []time.Duration{7 * time.Second, 4 * time.Second, time.Second} {
+		at := sqclock.Now().Add(-before)
+		q.account.Apply(at, at, 2, nil, nil)
+	}
+	q.account.SetGateways(sqclock.Now(), 1)
+	q.mu.Unlock()
+	for _, c := range []struct {
+		name, team string
+		tokens     int
+	}{{"reserve", "team", 400}, {"ask", "team", 9000}, {"none", "other", 400}} {
+		b.Run(c.name, func(b *testing.B) {
+			x.team, x.attempt.Prompt.Tokens = c.team, c.tokens
+			q.giveBack(x.team, 400)
 			b.ReportAllocs()
 			for b.Loop() {
-				x.quotaUnits = 0
-				s.gateway.quotas.giveBack(x.team, 400)
 				assert.Assert(b, x.chargeQuota())
+				q.giveBack(x.team, x.quotaUnits)
 			}
 		})
 	}
