--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -43,6 +43,8 @@
 	probes int
 	// origins holds where streams began, by attempt.
 	origins map[string]*sqrpc.StreamOrigin
+	// answerQuota answers calls for units of a quota. Without it, the call is not known.
+	answerQuota func(*sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error)
 }
 
 // Beat implements sqrpc.Coordinator.
@@ -128,6 +130,6 @@
 }
 
 // GrantQuota implements sqrpc.Coordinator.
-func (h *fakeLeaseHolder) GrantQuota(context.Context, *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
-	return &sqrpc.GrantQuotaResponse{Granted: true}, nil
+func (h *fakeLeaseHolder) GrantQuota(_ context.Context, req *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
+	return h.answerQuota(req)
 }
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -25,6 +25,7 @@
 	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/core/sqwindow"
 	"sequoiadock/io/sqclock"
@@ -83,6 +84,8 @@
 	Retry sqretry.Config
 	// BillingWindow is the length of a billing window.
 	BillingWindow time.Duration
+	// Quota is how far all gateways together may exceed a team's quota.
+	Quota sqquota.Bounds
 	// StopGracePeriod is the maximum duration of a graceful shutdown.
 	StopGracePeriod time.Duration
 	// TableApplyTimeout is the time within which an acknowledged routing table is in force
@@ -129,6 +132,7 @@
 	heartbeatSoon atomic.Bool
 	metrics       *gatewayMetrics
 	utilization   *utilization
+	quotas        *quotaGate
 	startedAt     time.Time
 	// firstViewReceived is closed once the lease holder has sent a routing table and
 	// a list of endpoints; firstViewOnce closes it only once.
@@ -183,6 +187,7 @@
 		evidence:          sqquarantine.NewEvidence(sqclock.Now()),
 		demandByService:   map[string]*demand{},
 		origins:           sqorigin.NewLog(maxOrigins),
+		quotas:            newQuotaGate(cfg.Quota),
 	}
 	g.utilization = newUtilization(cfg.VM)
 	g.pool.CountTraffic(g.utilization.traffic)
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -82,6 +82,10 @@
 	// memory is reserved for what is kept of responses.
 	memory *sqmemory.Reservation
 	stream *stream
+	// quotaUnits is what was charged to the quota of the team, and quotaSpent is set once a
+	// send may have reached an endpoint.
+	quotaUnits uint64
+	quotaSpent bool
 }
 
 // handle admits one request of a caller and sends it to endpoints.
@@ -91,6 +95,7 @@
 	x := &request{g: g, w: w, r: r, receivedAt: sqclock.Now(), attempt: g.cfg.Wire.ParseAttempt(r.Header),
 		memory: g.responseMemory.NewReservationOf(sqhttp.AccountOf(r))}
 	defer x.memory.Release()
+	defer x.giveBackQuota()
 	if !x.admit() {
 		return
 	}
--- a/app/sqprocess/members.go
+++ b/app/sqprocess/members.go
@@ -10,6 +10,7 @@
 	sqcore "sequoiadock/core"
 	"sequoiadock/core/sqdirectory"
 	"sequoiadock/core/sqerror"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqsettings"
@@ -38,7 +39,7 @@
 	err := sqcoordinator.Run(ctx, sqcoordinator.Config{
 		Name: n.Name(), Zone: n.Zone(), InternalAddress: n.InternalAddress(), OperatorAddress: settings.OperatorAddress(), DataFolder: settings.DataFolder(),
 		Seeds: settings.Cluster().Seeds(), FirstStart: settings.FirstStart(), TargetVoters: settings.Cluster().Voters(),
-		FreshnessLease: b.RevocationTimeout() * freshnessLeasePercent / 100, TakeoverDelay: b.TakeoverDelay(), FencedReceivers: b.FencedReceivers(), BillingWindow: b.BillingWindow(), Wire: sqadapter.Wire{},
+		FreshnessLease: b.RevocationTimeout() * freshnessLeasePercent / 100, TakeoverDelay: b.TakeoverDelay(), FencedReceivers: b.FencedReceivers(), BillingWindow: b.BillingWindow(), Quota: quotaBounds(b), Wire: sqadapter.Wire{},
 		NewPlatform: func(plain *http.Client, guarded func(term uint64) *http.Client) (sqcore.Platform, sqcore.Engines) {
 			client := sqadapter.NewClient(sqadapter.ClientConfig{Address: settings.PlatformAddress(), ReadClient: plain, LeaseClient: guarded, Wall: sqclock.Wall, Now: sqclock.Now})
 			return client, client
@@ -67,7 +68,7 @@
 		CallerAddress: settings.CallerAddress(), ReadinessAddress: settings.ReadinessAddress(), DirectoryAddress: settings.DirectoryAddress(), InternalAddress: n.InternalAddress(),
 		Seeds:         settings.Cluster().Seeds(),
 		Retry:         sqretry.Config{Ratio: b.RetryRatio(), ExtraRetries: b.ExtraRetries(), Window: b.RetryWindow()},
-		BillingWindow: b.BillingWindow(), StopGracePeriod: b.StopGracePeriod(), TableApplyTimeout: b.TableApplyTimeout(), DrainTimeout: b.DrainTimeout(), Wire: sqadapter.Wire{},
+		BillingWindow: b.BillingWindow(), StopGracePeriod: b.StopGracePeriod(), TableApplyTimeout: b.TableApplyTimeout(), DrainTimeout: b.DrainTimeout(), Quota: quotaBounds(b), Wire: sqadapter.Wire{},
 		VM:          sqdirectory.VM{MemoryBytes: n.VM().MemoryBytes(), LinkMegabits: n.VM().LinkMegabits(), ProcessorShare: n.VM().ProcessorShare()},
 		MemoryBytes: n.VM().MemoryBytes(), MaxDescriptors: n.VM().MaxDescriptors(),
 		DirectoryHandler: sqadapter.DirectoryHandler, ReadyHandler: sqadapter.ReadyHandler,
@@ -80,6 +81,11 @@
 	return reportExit(log, "gateway", n.Name(), err, p.stderr)
 }
 
+// quotaBounds returns how far all gateways together may exceed a team's quota.
+func quotaBounds(b sqsettings.Bounds) sqquota.Bounds {
+	return sqquota.Bounds{Window: b.QuotaWindow(), Overrun: b.QuotaOverrun(), Slack: b.QuotaSlack()}
+}
+
 // clusterSettings is implemented by settings with a cluster section.
 type clusterSettings interface {
 	Cluster() sqsettings.Cluster
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -33,6 +33,7 @@
 	ProbeDecided               = Event{5025, Info, "gateway asked for one request with a trait whose quarantine has ended", []string{"kind", "service", "trait", "gateway", "granted", "waitMillis"}}
 	GatewayOverloaded          = Event{5050, Warn, "gateway is close to a limit of its VM", []string{"gateway", "zone", "memoryPercent", "linkPercent", "processorPercent", "leftOut"}}
 	GatewayRecovered           = Event{5051, Info, "gateway is no longer close to a limit of its VM", []string{"gateway", "zone", "memoryPercent", "linkPercent", "processorPercent"}}
+	QuotasInForce              = Event{5040, Info, "quotas of teams in force at the lease holder", []string{"version", "teams"}}
 	StageRefused               = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
 
@@ -40,6 +41,6 @@
 	BootstrapFailed, MemberChanged, MemberChangeFailed, TableCommitted, TableRefused, TableNotCommitted,
 	GatewayFound, GatewayLeaving, GatewayLost, EndpointListChanged, EndpointListFailed, EndpointListRecovered,
 	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, TraitQuarantined, TraitReleased,
-	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten, ProbeDecided, HolderCallsWait, CallWithheld, WatchdogUnavailable, BeatNotEncoded,
+	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten, ProbeDecided, HolderCallsWait, CallWithheld, WatchdogUnavailable, BeatNotEncoded, QuotasInForce,
 	GatewayOverloaded, GatewayRecovered,
 }
