--- a/app/sqcoordinator/gateways.go
+++ b/app/sqcoordinator/gateways.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqspeed"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqrpc"
 )
@@ -74,11 +75,14 @@
 	// loadSum is the encoded sum of the loads as of loadSumAt.
 	loadSum   []byte
 	loadSumAt time.Time
+	// speeds merges what endpoints reported of their speed to all gateways.
+	speeds *sqspeed.Merger
 }
 
 func newGatewayRegistry(log *sqlog.Log, term uint64) *gatewayRegistry {
 	return &gatewayRegistry{
 		log: log, byName: map[string]*gateway{}, inFlight: map[string]*inFlightSum{}, directoryRevision: term << counterBits, changed: true,
+		speeds: sqspeed.NewMerger(),
 	}
 }
 
@@ -101,6 +105,7 @@
 		gw.inFlight[l.GetId()] = inFlight{running: l.GetRunning(), uncachedTokens: l.GetUncachedTokens()}
 	}
 	r.count(gw)
+	r.recordSpeeds(now, req)
 	previous := gw.demand
 	gw.demand = demand
 	return previous
@@ -190,7 +195,7 @@
 // loadSumInterval, so that the cost of a heartbeat does not grow with the endpoints.
 func (r *gatewayRegistry) encodedLoadSum(now time.Time, name string) (encoded []byte, includedBeat uint64, err error) {
 	if r.loadSumAt.IsZero() || now.Sub(r.loadSumAt) >= loadSumInterval {
-		if r.loadSum, err = proto.Marshal(r.loadList()); err != nil {
+		if r.loadSum, err = proto.Marshal(r.loadList(now)); err != nil {
 			return nil, 0, err
 		}
 		r.loadSumAt = now
@@ -207,11 +212,19 @@
 	return r.loadSum, includedBeat, nil
 }
 
-func (r *gatewayRegistry) loadList() *sqrpc.InFlightList {
+// loadList returns the sums of the loads, and the speeds of the endpoints that report them.
+func (r *gatewayRegistry) loadList(now time.Time) *sqrpc.InFlightList {
 	list := &sqrpc.InFlightList{Loads: make([]*sqrpc.InFlight, 0, len(r.inFlight))}
+	messages := make([]sqrpc.InFlight, len(r.inFlight))
 	for id, sum := range r.inFlight {
-		list.Loads = append(list.Loads, &sqrpc.InFlight{Id: id, Running: sum.running, UncachedTokens: sum.uncachedTokens})
+		l := &messages[len(list.Loads)]
+		l.Id, l.Running, l.UncachedTokens = id, sum.running, sum.uncachedTokens
+		if s, ok := r.speeds.Speed(now, id); ok {
+			l.SetSpeed(s)
+		}
+		list.Loads = append(list.Loads, l)
 	}
+	r.addIdleSpeeds(now, list)
 	return list
 }
 
--- a/app/sqcoordinator/loads.go
+++ b/app/sqcoordinator/loads.go
@@ -25,28 +25,34 @@
 	endpoints, draining  int
 	runningRequests      uint32
 	pendingPrefillTokens uint64
+	speeds               speedSpread
 }
 
 // logLoads logs the load of each pool while this process holds the lease.
 func (c *coordinator) logLoads(ctx context.Context) {
 	every(ctx, loadLogInterval, func() {
-		t, err := c.currentTerm(sqclock.Now())
+		now := sqclock.Now()
+		t, err := c.currentTerm(now)
 		if err != nil {
 			return
 		}
 		c.mu.Lock()
-		pools := t.poolLoads()
+		pools := t.poolLoads(now)
 		c.mu.Unlock()
 		for _, k := range sortedPoolKeys(pools) {
 			p := pools[k]
 			c.log.Event(sqevent.ServiceLoad, k.service, k.stage.String(), p.endpoints, p.draining, p.runningRequests, p.pendingPrefillTokens)
+			if s := p.speeds; s.reporting > 0 {
+				c.log.Event(sqevent.ServiceSpeed, k.service, k.stage.String(), s.reporting, int(s.fastest), int(s.mean), int(s.slowest),
+					s.newestAge.Milliseconds(), s.oldestAge.Milliseconds())
+			}
 		}
 	})
 }
 
 // poolLoads sums the loads of each pool over all gateways. The caller must hold the
 // coordinator's mu.
-func (t *termState) poolLoads() map[poolKey]*poolLoad {
+func (t *termState) poolLoads(now time.Time) map[poolKey]*poolLoad {
 	pools := map[poolKey]*poolLoad{}
 	for _, e := range t.endpointsForGateways() {
 		k := poolKey{e.Service(), e.Stage()}
@@ -63,6 +69,9 @@
 			p.runningRequests += l.running
 			p.pendingPrefillTokens += l.uncachedTokens
 		}
+		if s, ok := t.gateways.speeds.Speed(now, e.ID()); ok {
+			p.speeds.add(s)
+		}
 	}
 	return pools
 }
--- a/app/sqcoordinator/metrics.go
+++ b/app/sqcoordinator/metrics.go
@@ -30,6 +30,7 @@
 	c.metrics.NewGauge("sequoiadock_coordinator_list_age_seconds", func() float64 {
 		return c.termGauge(func(now time.Time, t *termState) float64 { return t.listAge(now).Seconds() })
 	})
+	c.registerSpeedGauges()
 }
 
 // termGauge returns the value that f computes from the current term's state, or 0 if
--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -115,6 +115,7 @@
 	for _, s := range t.orders.table.Services() {
 		v := serviceView(s, t)
 		v.InitialEndpoints = c.committedInitialEndpoints(s.Name())
+		v.WorkFactors = t.workFactors(now, v.Endpoints)
 		t.orders.planner.Observe(now, v)
 		orders = append(orders, t.orders.planner.Orders(now, v)...)
 		stageChanges = append(stageChanges, t.orders.planner.StageChanges(now, v)...)
--- a/app/sqgateway/availability.go
+++ b/app/sqgateway/availability.go
@@ -27,9 +27,7 @@
 	}
 	g.recordLimit(sentAt, now, e, response.Limit)
 	if response.HasLoad {
-		g.mu.Lock()
-		g.placer.RecordLoadReport(now, e.ID(), response.Load)
-		g.mu.Unlock()
+		g.recordLoadReport(now, e, response.Load)
 	}
 }
 
--- a/app/sqgateway/beats.go
+++ b/app/sqgateway/beats.go
@@ -1,6 +1,8 @@
 package sqgateway
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"sequoiadock/core/sqevent"
@@ -42,8 +44,9 @@
 	}
 }
 
-// peerLoads returns the loads of the other gateways. The caller must hold the gateway's mu.
-func (g *gateway) peerLoads(res *sqrpc.BeatResponse) map[string]sqplace.Load {
+// applyLoadSum records the speeds of endpoints and returns the loads of the other gateways.
+// The caller must hold the gateway's mu.
+func (g *gateway) applyLoadSum(receivedAt time.Time, res *sqrpc.BeatResponse) map[string]sqplace.Load {
 	if len(res.GetLoadSum()) == 0 {
 		return loadsByEndpoint(res.GetOthers())
 	}
@@ -52,6 +55,7 @@
 		g.log.Event(sqevent.BeatNotDecoded, "loads", err.Error())
 		return nil
 	}
+	g.placer.SetSpeeds(receivedAt, sqrpc.ToSpeeds(&sum))
 	loads := loadsByEndpoint(sum.GetLoads())
 	g.beats.subtract(loads, res.GetIncludedBeat())
 	return loads
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -147,6 +147,7 @@
 	g.unsentCacheUpdates = g.unsentCacheUpdates[max(0, len(g.unsentCacheUpdates)-maxUnsentCacheUpdates):]
 	req.CacheUpdates, req.LastCacheUpdate = g.unsentCacheUpdates, g.lastSeenCacheUpdate
 	req.LeavingEndpoints = g.placer.UnlistedDepartures()
+	g.addSpeeds(now, req)
 	reports := g.addLimits(now, req)
 	g.addEvidence(now, v, req)
 	for service, d := range g.demandByService {
@@ -167,5 +168,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.placer.ApplyCacheUpdates(sqclock.Now(), updates)
+	g.placer.Speeds().Acknowledge()
 	g.unsentCacheUpdates, g.lastSeenCacheUpdate = nil, res.GetLastCacheUpdate()
 }
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -16,6 +16,7 @@
 
 	answered, refused, failed, disconnected, resends, closeFramed, quarantined *metrics.Counter
 	leavingEndpoints, endpointRefusals, staleListRefusals                      *metrics.Counter
+	speedReports, unreadableLoadFigures                                        *metrics.Counter
 	firstEventSeconds, requestSeconds, tableSeconds                            *metrics.Histogram
 }
 
@@ -33,9 +34,12 @@
 		leavingEndpoints:  set.NewCounter("sequoiadock_gateway_leaving_endpoints"),
 		endpointRefusals:  set.NewCounter("sequoiadock_gateway_endpoint_refusals"),
 		staleListRefusals: set.NewCounter("sequoiadock_gateway_stale_list_refusals"),
+		speedReports:      set.NewCounter("sequoiadock_gateway_speed_reports"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
 		tableSeconds:      set.NewHistogram("sequoiadock_gateway_table_seconds"),
+
+		unreadableLoadFigures: set.NewCounter("sequoiadock_gateway_unreadable_load_figures"),
 	}
 	set.NewGauge("sequoiadock_gateway_running", func() float64 { return float64(m.running.Load()) })
 	set.NewGauge("sequoiadock_gateway_response_bytes", func() float64 { return float64(g.responseMemory.UsedBytes()) })
--- a/core/sqattempt/sqattempt.go
+++ b/core/sqattempt/sqattempt.go
@@ -81,6 +81,11 @@
 	Running int
 	Queued  int
 	Slots   int
+	// WorkPercent is how long work takes at the endpoint at this moment, in percent of the
+	// usual time; 0 if the report does not say.
+	WorkPercent int
+	// Unreadable is the number of figures that cannot be read. Each counts as not reported.
+	Unreadable int
 }
 
 // RateLimit is what a response says about the rate of requests that its endpoint takes.
--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -104,7 +104,7 @@
 
 // enginesNeeded returns how many engines both stages need.
 func enginesNeeded(peak demandRate, svc *Service) int {
-	return prefillEnginesNeeded(peak) + decodeEnginesNeeded(peak, svc.Engine.Slots)
+	return prefillEnginesNeeded(peak, svc.meanSpeed()) + decodeEnginesNeeded(peak, svc.Engine.Slots)
 }
 
 // shortagePerZone returns how many endpoints each zone has to add, on demand if need
@@ -120,12 +120,14 @@
 	return max(0, (missing+zones-1)/zones)
 }
 
-// prefillEnginesNeeded returns how many engines the prefill stage needs.
-func prefillEnginesNeeded(peak demandRate) int {
-	return int(math.Ceil(peak.prefillTokens / prefillTokensPerSecond * 100 / prefillUtilizationPercent))
+// prefillEnginesNeeded returns how many engines the prefill stage needs if they have the
+// speed, relative to the usual one.
+func prefillEnginesNeeded(peak demandRate, speed float64) int {
+	return int(math.Ceil(peak.prefillTokens / (prefillTokensPerSecond * speed) * 100 / prefillUtilizationPercent))
 }
 
-// decodeEnginesNeeded returns how many engines the decode stage needs.
+// decodeEnginesNeeded returns how many engines the decode stage needs. The measured number
+// of concurrent requests contains the engines' speed: slow engines have more of them.
 func decodeEnginesNeeded(peak demandRate, slots int) int {
 	return int(math.Ceil(peak.concurrentDecodes / float64(max(1, slots)) * 100 / decodeUtilizationPercent))
 }
--- a/core/sqcapacity/sqcapacity.go
+++ b/core/sqcapacity/sqcapacity.go
@@ -29,7 +29,10 @@
 	Endpoints []sqplace.Endpoint
 	// Limited holds the IDs of the endpoints that take fewer requests than they usually do.
 	Limited map[string]bool
-	Demand  Demand
+	// WorkFactors is how long work takes at endpoints relative to the usual time, by ID. It
+	// is 1 for those that are left out.
+	WorkFactors map[string]float64
+	Demand      Demand
 	// InitialEndpoints is the number of endpoints before any were ordered, as recorded by an
 	// earlier lease holder; 0 if none recorded it.
 	InitialEndpoints int
--- a/core/sqcapacity/stages.go
+++ b/core/sqcapacity/stages.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"sequoiadock/core/sqplace"
@@ -56,9 +55,9 @@
 	maxChanges -= changing
 	switch {
 	case target >= len(prefillEngines)+minSplitDifference:
-		return s.pickChanges(now, decodeEngines, sqplace.Prefill, min(target-len(prefillEngines), maxChanges))
+		return s.pickChanges(now, svc, decodeEngines, sqplace.Prefill, min(target-len(prefillEngines), maxChanges))
 	case target <= len(prefillEngines)-minSplitDifference:
-		return s.pickChanges(now, prefillEngines, sqplace.Decode, min(len(prefillEngines)-target, maxChanges))
+		return s.pickChanges(now, svc, prefillEngines, sqplace.Decode, min(len(prefillEngines)-target, maxChanges))
 	default:
 		return nil
 	}
@@ -71,17 +70,17 @@
 	if !hasDemand {
 		return total * initialPrefillPercent / 100, total
 	}
-	prefill, decode := prefillEnginesNeeded(peak), decodeEnginesNeeded(peak, svc.Engine.Slots)
+	prefill, decode := prefillEnginesNeeded(peak, svc.meanSpeed()), decodeEnginesNeeded(peak, svc.Engine.Slots)
 	target = total * prefill / max(1, prefill+decode)
 	target = min(max(target, total*minPrefillPercent/100), total*maxPrefillPercent/100)
 	return max(1, min(target, total-1)), max(1, total*maxChangingPercent/100)
 }
 
 // pickChanges returns stage changes of up to n of the candidates, spread over the
-// zones.
-func (s *serviceState) pickChanges(now time.Time, engines []sqplace.Endpoint, stage sqplace.Stage, n int) []StageChange {
+// zones, those that suit the stage best first.
+func (s *serviceState) pickChanges(now time.Time, svc *Service, engines []sqplace.Endpoint, stage sqplace.Stage, n int) []StageChange {
 	byZone := map[string]int{}
-	slices.SortFunc(engines, func(a, b sqplace.Endpoint) int { return strings.Compare(a.ID(), b.ID()) })
+	svc.sortForStage(engines, stage)
 	var changes []StageChange
 	for len(changes) < n {
 		best := -1
--- a/core/sqevent/coordinator.go
+++ b/core/sqevent/coordinator.go
@@ -30,6 +30,7 @@
 	HolderCallsWait            = Event{5026, Info, "new lease holder does not call the platform and the engines yet", []string{"term", "waitMillis"}}
 	CallWithheld               = Event{5027, Warn, "call to the platform or an engine not sent, the lease does not cover it", []string{"term", "leaseLeftMillis"}}
 	WatchdogUnavailable        = Event{5028, Warn, "the kernel has no timer that ends this process if it is paused during a call", []string{"error"}}
+	ServiceSpeed               = Event{5036, Info, "speed of the endpoints of a service, as they report it", []string{"service", "stage", "endpoints", "fastestPercent", "meanPercent", "slowestPercent", "newestMillis", "oldestMillis"}}
 	ProbeDecided               = Event{5025, Info, "gateway asked for one request with a trait whose quarantine has ended", []string{"kind", "service", "trait", "gateway", "granted", "waitMillis"}}
 	StageRefused               = Event{5015, Warn, "stage order not accepted", []string{"endpoint", "stage", "error"}}
 )
@@ -39,4 +40,5 @@
 	GatewayFound, GatewayLeaving, GatewayLost, EndpointListChanged, EndpointListFailed, EndpointListRecovered,
 	EndpointsOrdered, EndpointsRefused, StageOrdered, StageRefused, DiskReopening, ServiceLoad, InitialEndpointsCommitted, TraitQuarantined, TraitReleased,
 	DepartureReported, DepartureForgottenByHolder, LimitReported, LimitForgotten, ProbeDecided, HolderCallsWait, CallWithheld, WatchdogUnavailable, BeatNotEncoded,
+	ServiceSpeed,
 }
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -120,7 +120,7 @@
 	if n.endpoint.Stage() == Decode {
 		percent += time.Duration(min(n.running(now), n.slots()) * decodeInterferencePercent)
 	}
-	return s.prefillTime(uncached, n.endpoint.Stage()) * percent / 100
+	return n.slowed(now, s.prefillTime(uncached, n.endpoint.Stage())*percent/100)
 }
 
 // bestRemotePrefill returns the lowest-cost pair of a prefill engine that processes
@@ -192,8 +192,8 @@
 func (p *Placer) bestDecode(now time.Time, s *pool, r *request, nodes []*node) scoredChoice {
 	var best scoredChoice
 	for _, n := range nodes {
-		latency := s.slotWait(now, n) + s.prefillWait(r, n)/4
-		cost := p.jitter(latency + p.penalty(now, n) + time.Duration(n.running(now))*time.Millisecond)
+		latency := s.slotWait(now, n) + n.slowed(now, s.prefillWait(r, n)/4)
+		cost := p.jitter(latency + p.penalty(now, n) + n.decodeCost(now))
 		if best.choice.Endpoint == nil || cost < best.cost {
 			best = scoredChoice{cost: cost, choice: Choice{Endpoint: n.endpointCopy(), ExpectedLatency: latency}}
 		}
--- a/core/sqplace/dispatch.go
+++ b/core/sqplace/dispatch.go
@@ -16,6 +16,9 @@
 	hasFirstToken   bool
 	firstTokenAt    time.Time
 	ended           bool
+	// speedFactor is how much longer than usual work took at the endpoint as estimated at the
+	// start.
+	speedFactor float64
 }
 
 // StartDispatch records that a request is being sent to the endpoint. The endpoint has to
@@ -33,7 +36,7 @@
 	n.local.Running++
 	n.local.PrefillTokens += uncached
 	p.recordPrefixes(now, s, n, &q.Prompt)
-	return &Dispatch{node: n, pool: s, startedAt: now, prefillTokens: uncached, expectedLatency: expected}
+	return &Dispatch{node: n, pool: s, startedAt: now, prefillTokens: uncached, expectedLatency: expected, speedFactor: n.speed.Factor(now)}
 }
 
 // recordPrefixes records that the endpoint will cache the prefixes of a prompt, and
@@ -65,7 +68,7 @@
 	}
 	r.hasFirstToken, r.firstTokenAt = true, now
 	r.node.local.PrefillTokens -= r.prefillTokens
-	r.pool.updateLatencyRatio(r.node.endpoint.Stage(), r.expectedLatency, now.Sub(r.startedAt))
+	r.learn(now)
 }
 
 // Finish records the end of the request. Reached is false if no connection to the
@@ -81,7 +84,7 @@
 	r.node.local.Running--
 	r.node.recordOutcome(now, ok, reached)
 	if ok {
-		r.pool.updateMeanDuration(now.Sub(r.startedAt))
+		r.pool.updateMeanDuration(r.node.usual(now, now.Sub(r.startedAt)))
 	}
 }
 
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -92,7 +92,7 @@
 	if excess <= 0 {
 		return 0
 	}
-	return s.meanDuration * time.Duration(excess) / time.Duration(n.slots())
+	return n.slowed(now, s.meanDuration*time.Duration(excess)/time.Duration(n.slots()))
 }
 
 // prefillWait returns how long a request waits for the prompts queued before it.
@@ -108,9 +108,9 @@
 // prompt itself; for a plain service, the time to the whole answer.
 func (s *pool) directLatency(now time.Time, r *request, n *node, uncached int) time.Duration {
 	if s.engine == nil {
-		return s.meanDuration + s.slotWait(now, n)
+		return n.slowed(now, s.meanDuration) + s.slotWait(now, n)
 	}
-	return firstTokenOverhead + s.slotWait(now, n) + s.prefillWait(r, n) + s.prefillTime(uncached, n.endpoint.cfg.Stage)
+	return s.slotWait(now, n) + n.slowed(now, firstTokenOverhead+s.prefillWait(r, n)+s.prefillTime(uncached, n.endpoint.cfg.Stage))
 }
 
 // transferTime returns the time to transfer the KV cache of a whole prompt.
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sequoiadock/core/sqattempt"
+	"sequoiadock/core/sqspeed"
 )
 
 const (
@@ -41,6 +42,8 @@
 	refusesUntil time.Time
 	// list is the age of the list of endpoints.
 	list *listAge
+	// speed is the estimate of how long work takes at the endpoint.
+	speed sqspeed.Estimate
 }
 
 func newNode(list *listAge) *node { return &node{cache: newPrefixCache(), list: list} }
@@ -95,4 +98,5 @@
 	if load.Slots > 0 {
 		n.endpoint.cfg.Slots = load.Slots
 	}
+	p.recordSpeed(now, n, load.WorkPercent)
 }
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -211,6 +211,8 @@
 	refusals map[string]time.Time
 	// list is the age of the list of endpoints.
 	list *listAge
+	// speeds is what is known of the speeds of all endpoints together.
+	speeds *speedState
 }
 
 // pool holds the endpoints of a service and the latencies observed at them.
@@ -222,6 +224,7 @@
 	// latencyRatio corrects the estimated prefill times, by stage. It is the moving
 	// average of the observed over the uncorrected time to the first token.
 	latencyRatio [stageCount]float64
+	speeds       *speedState
 }
 
 // New returns a placer without endpoints.
@@ -229,6 +232,7 @@
 	return &Placer{
 		cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
 		limits: sqlimit.NewKeeper(), refusals: map[string]time.Time{}, list: &listAge{limit: cfg.MaxListAge},
+		speeds: newSpeedState(),
 	}
 }
 
@@ -282,7 +286,7 @@
 func (p *Placer) pool(service string) *pool {
 	s := p.services[service]
 	if s == nil {
-		s = &pool{meanDuration: initialDuration, latencyRatio: [stageCount]float64{1, 1, 1}}
+		s = &pool{meanDuration: initialDuration, latencyRatio: [stageCount]float64{1, 1, 1}, speeds: p.speeds}
 		p.services[service] = s
 	}
 	return s
