--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -97,17 +97,19 @@
 	preferred := preferredNode(r.hashes, r.lengths, nodes)
 	var best scoredChoice
 	var bestRank time.Duration
+	var bestNode *node
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
 		cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached)
-		if rank := cost + p.spread(now, s, r, n, latency); best.choice.Endpoint == nil || rank < bestRank {
-			bestRank = rank
-			best = scoredChoice{cost: cost, choice: Choice{
-				Endpoint: n.endpointCopy(), ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time",
-			}}
+		if rank := cost + p.spread(s, r, n, latency); bestNode == nil || rank < bestRank {
+			bestNode, bestRank = n, rank
+			best = scoredChoice{cost: cost, choice: Choice{ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time"}}
 		}
 	}
+	if bestNode != nil {
+		best.choice.Endpoint = bestNode.endpointCopy()
+	}
 	return best
 }
 
@@ -122,7 +124,7 @@
 	if n.endpoint.Stage() == Decode {
 		percent += time.Duration(min(n.running(now), n.slots()) * decodeInterferencePercent)
 	}
-	return n.slowed(now, s.prefillTime(uncached, n.endpoint.Stage())*percent/100)
+	return n.slowed(s.prefillTime(uncached, n.endpoint.Stage()) * percent / 100)
 }
 
 // bestRemotePrefill returns the lowest-cost pair of a prefill engine that processes
@@ -171,7 +173,7 @@
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
 		cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached)
-		if rank := cost + p.spread(now, s, r, n, latency); prefiller == nil || rank < bestRank {
+		if rank := cost + p.spread(s, r, n, latency); prefiller == nil || rank < bestRank {
 			bestRank = rank
 			prefiller, prefillCost, prefillLatency, prefillUncached = n, cost, latency, uncached
 		}
@@ -195,13 +197,17 @@
 // prefilled.
 func (p *Placer) bestDecode(now time.Time, s *pool, r *request, nodes []*node) scoredChoice {
 	var best scoredChoice
+	var bestNode *node
 	for _, n := range nodes {
-		latency := s.slotWait(now, n) + n.slowed(now, s.prefillWait(r, n)/4)
+		latency := s.slotWait(now, n) + n.slowed(s.prefillWait(r, n)/4)
 		cost := p.jitter(latency + p.penalty(now, n) + p.decodeCost(now, s, n))
-		if best.choice.Endpoint == nil || cost < best.cost {
-			best = scoredChoice{cost: cost, choice: Choice{Endpoint: n.endpointCopy(), ExpectedLatency: latency}}
+		if bestNode == nil || cost < best.cost {
+			bestNode, best = n, scoredChoice{cost: cost, choice: Choice{ExpectedLatency: latency}}
 		}
 	}
+	if bestNode != nil {
+		best.choice.Endpoint = bestNode.endpointCopy()
+	}
 	return best
 }
 
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -52,11 +52,15 @@
 	lengths []int
 	// prefixCached is set if an engine is known to hold the longest shared prefix.
 	prefixCached bool
+	// leastWork is the work at an endpoint of usual speed that no cached prefix saves, by
+	// stage. It is set if the service reports speeds.
+	leastWork [stageCount]time.Duration
 }
 
 func newRequest(now time.Time, q *Query, s *pool) *request {
 	hashes, lengths := prefixHashes(&q.Prompt)
 	r := &request{Query: q, hashes: hashes, lengths: lengths}
+	r.setSpeeds(now, s)
 	for _, n := range s.nodes {
 		if last := len(lengths) - 1; last >= 0 && n.available(now) && n.cache.cachedTokens(hashes, lengths) == lengths[last] {
 			r.prefixCached = true
@@ -92,7 +96,7 @@
 	if excess <= 0 {
 		return 0
 	}
-	return n.slowed(now, s.meanDuration*time.Duration(excess)/time.Duration(n.slots()))
+	return n.slowed(s.meanDuration * time.Duration(excess) / time.Duration(n.slots()))
 }
 
 // prefillWait returns how long a request waits for the prompts queued before it.
@@ -108,9 +112,9 @@
 // prompt itself; for a plain service, the time to the whole answer.
 func (s *pool) directLatency(now time.Time, r *request, n *node, uncached int) time.Duration {
 	if s.engine == nil {
-		return n.slowed(now, s.meanDuration) + s.slotWait(now, n)
+		return n.slowed(s.meanDuration) + s.slotWait(now, n)
 	}
-	return s.slotWait(now, n) + n.slowed(now, firstTokenOverhead+s.prefillWait(r, n)+s.prefillTime(uncached, n.endpoint.cfg.Stage))
+	return s.slotWait(now, n) + n.slowed(firstTokenOverhead+s.prefillWait(r, n)+s.prefillTime(uncached, n.endpoint.cfg.Stage))
 }
 
 // transferTime returns the time to transfer the KV cache of a whole prompt.
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -44,6 +44,9 @@
 	list *listAge
 	// speed is the estimate of how long work takes at the endpoint.
 	speed sqspeed.Estimate
+	// slowFactor is how much longer than usual work takes at the endpoint as of the last
+	// choice, 0 if nothing is known.
+	slowFactor float64
 }
 
 func newNode(list *listAge) *node { return &node{cache: newPrefixCache(), list: list} }
--- a/core/sqplace/speed.go
+++ b/core/sqplace/speed.go
@@ -50,12 +50,15 @@
 	p.speeds.collector.Record(now, n.endpoint.ID(), float64(percent))
 }
 
+// updateFactor sets how much longer than usual work takes at the endpoint at now.
+func (n *node) updateFactor(now time.Time) { n.slowFactor = n.speed.Factor(now) }
+
 // slowed returns how long work takes at the endpoint that usually takes d.
-func (n *node) slowed(now time.Time, d time.Duration) time.Duration {
-	if !n.speed.Known() {
+func (n *node) slowed(d time.Duration) time.Duration {
+	if n.slowFactor == 0 {
 		return d
 	}
-	return time.Duration(float64(d) * n.speed.Factor(now))
+	return time.Duration(float64(d) * n.slowFactor)
 }
 
 // usual returns how long work usually takes that took d at the endpoint.
@@ -69,7 +72,7 @@
 // decodeCost returns the cost of the tokens that the engine generates for others at the
 // same time.
 func (p *Placer) decodeCost(now time.Time, s *pool, n *node) time.Duration {
-	cost := n.slowed(now, time.Duration(n.running(now)+1)*costPerDecode)
+	cost := n.slowed(time.Duration(n.running(now)+1) * costPerDecode)
 	if s.reportsSpeed {
 		cost = time.Duration(float64(cost) * p.randomWeight())
 	}
@@ -82,36 +85,54 @@
 // otherwise all gateways would choose the same few until they hear of each other's requests.
 // What a cached prefix saves is not changed. An endpoint that is expected to be late comes
 // after all others.
-func (p *Placer) spread(now time.Time, s *pool, r *request, n *node, latency time.Duration) time.Duration {
+func (p *Placer) spread(s *pool, r *request, n *node, latency time.Duration) time.Duration {
 	if !s.reportsSpeed {
 		return 0
 	}
 	if latency > r.TimeLeft*maxLatencyPercent/100 {
 		return lateCost
 	}
-	work := n.slowed(now, s.meanDuration)
-	if s.engine != nil {
-		least := r.leastTokens()
-		work = n.slowed(now, firstTokenOverhead+s.prefillTime(least, n.endpoint.Stage())) + s.interference(now, n, least)
-	}
-	return time.Duration(float64(work) * (p.randomWeight() - 1))
+	return time.Duration(float64(n.slowed(r.leastWork[n.endpoint.Stage()])) * (p.randomWeight() - 1))
 }
 
-// leastTokens returns how many prompt tokens no endpoint can have cached.
-func (r *request) leastTokens() int {
+// setSpeeds sets what the estimates of a request use of the speeds of endpoints, if any of
+// the service reports one.
+func (r *request) setSpeeds(now time.Time, s *pool) {
+	if !s.reportsSpeed {
+		return
+	}
+	for _, n := range s.nodes {
+		n.updateFactor(now)
+	}
+	if s.engine == nil {
+		r.leastWork[AnyStage] = s.meanDuration
+		return
+	}
+	least := r.Prompt.Tokens
 	if last := len(r.lengths) - 1; last >= 0 {
-		return max(0, r.Prompt.Tokens-r.lengths[last])
+		least = max(0, least-r.lengths[last])
+	}
+	for stage := range r.leastWork {
+		prefill := s.prefillTime(least, Stage(stage))
+		r.leastWork[stage] = firstTokenOverhead + prefill + prefill*interferencePercent/100
 	}
-	return r.Prompt.Tokens
 }
 
 // randomWeight returns a random number with a Weibull distribution of shape 2. If each cost
 // of several endpoints is multiplied by one, an endpoint has the lowest cost with a
 // probability that falls with the square of its cost.
-func (p *Placer) randomWeight() float64 {
-	const bits = 53
-	return math.Sqrt(-math.Log((float64(p.nextRandom()>>(64-bits)) + 0.5) / (1 << bits)))
-}
+func (p *Placer) randomWeight() float64 { return randomWeights[p.nextRandom()>>(64-weightBits)] }
+
+// weightBits is the binary logarithm of the number of random weights.
+const weightBits = 8
+
+// randomWeights are the quantiles of the distribution of random weights.
+var randomWeights = func() (quantiles [1 << weightBits]float64) {
+	for i := range quantiles {
+		quantiles[i] = math.Sqrt(-math.Log((float64(i) + 0.5) / float64(len(quantiles))))
+	}
+	return quantiles
+}()
 
 // learn corrects later estimates by the time to the first token that was observed at now.
 // The expected time contains the estimate of the endpoint's speed; where the endpoint has
--- a/core/sqplace/speed_test.go
+++ b/core/sqplace/speed_test.go
@@ -197,7 +197,7 @@
 		for range 60 {
 			now = now.Add(time.Second / 4)
 			e := p.nodes["d1"].endpointCopy()
-			r := p.StartDispatch(now, e, engineQuery("a", 1, 10), 0, p.nodes["d1"].slowed(now, 100*time.Millisecond))
+			r := p.StartDispatch(now, e, engineQuery("a", 1, 10), 0, p.nodes["d1"].slowed(100*time.Millisecond))
 			r.RecordFirstToken(now.Add(300 * time.Millisecond))
 			r.Finish(now.Add(300*time.Millisecond), true, true)
 		}
--- a/core/sqspeed/estimate.go
+++ b/core/sqspeed/estimate.go
@@ -10,6 +10,8 @@
 	deviationTime = 300 * time.Millisecond
 	// meanTime is the time in which the weight of a report in the mean decays to 1/e.
 	meanTime = 20 * time.Second
+	// levelTime is how long the mean is not computed anew while there are no reports.
+	levelTime = 500 * time.Millisecond
 	// sampleTime is the time after which a report counts in full: reports that follow each
 	// other closely describe the same moment.
 	sampleTime = 1 * time.Second
@@ -43,9 +45,9 @@
 	lastAt time.Time
 	// reportedAt is the time of the newest report.
 	reportedAt time.Time
-	// factor is the result of Factor at factorAt, 0 if it has to be computed.
-	factor   float64
-	factorAt time.Time
+	// level is the result of Mean at levelAt, 0 if it has to be computed.
+	level   float64
+	levelAt time.Time
 }
 
 // Known reports whether anything is known of the endpoint's speed.
@@ -95,8 +97,11 @@
 	if !e.Known() {
 		return UsualPercent
 	}
-	weight := e.weight * decay(now.Sub(e.updatedAt), meanTime)
-	return UsualPercent + (e.mean-UsualPercent)*weight/(weight+priorWeight)
+	if e.level == 0 || now.Sub(e.levelAt) > levelTime {
+		weight := e.weight * decay(now.Sub(e.updatedAt), meanTime)
+		e.level, e.levelAt = UsualPercent+(e.mean-UsualPercent)*weight/(weight+priorWeight), now
+	}
+	return e.level
 }
 
 // Percent returns how long work takes at now, in percent of the usual time.
@@ -113,15 +118,12 @@
 	if !e.Known() {
 		return 1
 	}
-	if e.factor == 0 || !e.factorAt.Equal(now) {
-		e.factor, e.factorAt = e.Percent(now)/UsualPercent, now
-	}
-	return e.factor
+	return e.Percent(now) / UsualPercent
 }
 
 // add adds a value to the mean with a share between 0 and 1.
 func (e *Estimate) add(at time.Time, percent, share float64) {
-	e.factor = 0
+	e.level = 0
 	share = min(share, 1)
 	if age := e.updatedAt.Sub(at); age > 0 {
 		share *= decay(age, meanTime)
@@ -137,7 +139,7 @@
 
 // decay returns the share that is left after a time; it is 1 for a negative time.
 func decay(elapsed, constant time.Duration) float64 {
-	const none = 20
+	const none = 8
 	switch {
 	case elapsed <= 0:
 		return 1
