--- a/core/sqplace/speed.go
+++ b/core/sqplace/speed.go
@@ -15,8 +15,8 @@
 
 // speedState is what a gateway knows of the speeds of all its endpoints together.
 type speedState struct {
-	// inUse is set once an endpoint of the deployment has reported its speed, to this
-	// gateway or to another one.
+	// inUse is set once an endpoint of any service has reported its speed, to this gateway
+	// or to another one. Before that, no estimate is used.
 	inUse bool
 	// collector holds the reports for the lease holder.
 	collector *sqspeed.Collector
@@ -50,9 +50,6 @@
 	p.speeds.collector.Record(now, n.endpoint.ID(), float64(percent))
 }
 
-// updateFactor sets how much longer than usual work takes at the endpoint at now.
-func (n *node) updateFactor(now time.Time) { n.slowFactor = n.speed.Factor(now) }
-
 // slowed returns how long work takes at the endpoint that usually takes d.
 func (n *node) slowed(d time.Duration) time.Duration {
 	if n.slowFactor == 0 {
@@ -96,13 +93,13 @@
 }
 
 // setSpeeds sets what the estimates of a request use of the speeds of endpoints, if any of
-// the service reports one.
+// the deployment reports one.
 func (r *request) setSpeeds(now time.Time, s *pool) {
-	if !s.reportsSpeed {
+	if !s.speeds.inUse {
 		return
 	}
 	for _, n := range s.nodes {
-		n.updateFactor(now)
+		n.slowFactor = n.speed.Factor(now)
 	}
 	if s.engine == nil {
 		r.leastWork[AnyStage] = s.meanDuration
@@ -137,15 +134,16 @@
 // learn corrects later estimates by the time to the first token that was observed at now.
 // The expected time contains the estimate of the endpoint's speed; where the endpoint has
 // reported its speed since, it is corrected by the report, so that the latency ratio of the
-// service does not learn the speed of the endpoint.
+// service does not learn the speed of the endpoint. An endpoint without figures among others
+// with figures corrects its own estimate only.
 func (r *Dispatch) learn(now time.Time) {
 	expected, observed := r.expectedLatency, now.Sub(r.startedAt)
 	n := r.node
 	if r.speedFactor > 0 && n.speed.Known() && !n.speed.ReportedAt().Before(r.startedAt) {
 		expected = time.Duration(float64(expected) / r.speedFactor * n.speed.Factor(n.speed.ReportedAt()))
 	}
-	r.pool.updateLatencyRatio(n.endpoint.Stage(), expected, observed)
-	if r.pool.speeds.inUse {
-		n.speed.RecordMeasured(now, expected, observed)
+	corrected := r.pool.speeds.inUse && n.speed.RecordMeasured(now, expected, observed)
+	if !corrected || !r.pool.reportsSpeed {
+		r.pool.updateLatencyRatio(n.endpoint.Stage(), expected, observed)
 	}
 }
--- a/core/sqspeed/estimate.go
+++ b/core/sqspeed/estimate.go
@@ -82,13 +82,15 @@
 }
 
 // RecordMeasured corrects the mean by the answer time that was observed where another was
-// expected from the estimate. It does nothing while the endpoint reports its speed.
-func (e *Estimate) RecordMeasured(now time.Time, expected, observed time.Duration) {
+// expected from the estimate. It does nothing and returns false while the endpoint reports
+// its speed.
+func (e *Estimate) RecordMeasured(now time.Time, expected, observed time.Duration) bool {
 	if expected <= 0 || !e.reportedAt.IsZero() && now.Sub(e.reportedAt) < unreportedTime {
-		return
+		return false
 	}
 	ratio := min(max(float64(observed)/float64(expected), 1/maxMeasuredRatio), maxMeasuredRatio)
 	e.add(now, min(max(e.Mean(now)*ratio, minPercent), maxPercent), measuredShare)
+	return true
 }
 
 // Mean returns the long-term part of the estimate in percent. Without reports it approaches
