Speed of endpoints: random part of the choice only where speeds differ

Change: its share grows with the difference of the speeds, it does not decide between an engine that prefills itself and a pair, and it is made of at least 50 ms of work.

--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -96,19 +96,22 @@
 	nodes := withoutStage(candidates, Prefill)
 	preferred := preferredNode(r.hashes, r.lengths, nodes)
 	var best scoredChoice
-	var bestRank time.Duration
+	var bestRank, lowestCost time.Duration
 	var bestNode *node
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
 		cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached)
+		if bestNode == nil || cost < lowestCost {
+			lowestCost = cost
+		}
 		if rank := cost + p.spread(s, r, n, latency); bestNode == nil || rank < bestRank {
 			bestNode, bestRank = n, rank
-			best = scoredChoice{cost: cost, choice: Choice{ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time"}}
+			best.choice = Choice{ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time"}
 		}
 	}
 	if bestNode != nil {
-		best.choice.Endpoint = bestNode.endpointCopy()
+		best.choice.Endpoint, best.cost = bestNode.endpointCopy(), lowestCost
 	}
 	return best
 }
@@ -167,15 +170,17 @@
 	prefillNodes := withoutStage(candidates, Decode)
 	preferred := preferredNode(r.hashes, r.lengths, prefillNodes)
 	var prefiller *node
-	var prefillCost, prefillLatency, bestRank time.Duration
+	var lowestCost, prefillLatency, bestRank time.Duration
 	prefillUncached := 0
 	for _, n := range prefillNodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
 		cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached)
+		if prefiller == nil || cost < lowestCost {
+			lowestCost = cost
+		}
 		if rank := cost + p.spread(s, r, n, latency); prefiller == nil || rank < bestRank {
-			bestRank = rank
-			prefiller, prefillCost, prefillLatency, prefillUncached = n, cost, latency, uncached
+			prefiller, bestRank, prefillLatency, prefillUncached = n, rank, latency, uncached
 		}
 	}
 	if prefiller == nil {
@@ -189,7 +194,7 @@
 	best.choice.PrefillLatency = prefillLatency
 	best.choice.ExpectedLatency += prefillLatency + s.transferTime(&r.Prompt)
 	best.choice.Reason = "a prefill engine reads the prompt sooner"
-	best.cost += prefillCost + s.transferTime(&r.Prompt) + remotePrefillPenalty
+	best.cost += lowestCost + s.transferTime(&r.Prompt) + remotePrefillPenalty
 	return best, true
 }
 
@@ -200,7 +205,7 @@
 	var bestNode *node
 	for _, n := range nodes {
 		latency := s.slotWait(now, n) + n.slowed(s.prefillWait(r, n)/4)
-		cost := p.jitter(latency + p.penalty(now, n) + p.decodeCost(now, s, n))
+		cost := p.jitter(latency + p.penalty(now, n) + p.decodeCost(now, s, r, n))
 		if bestNode == nil || cost < best.cost {
 			bestNode, best = n, scoredChoice{cost: cost, choice: Choice{ExpectedLatency: latency}}
 		}
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -55,6 +55,9 @@
 	// leastWork is the work at an endpoint of usual speed that no cached prefix saves, by
 	// stage. It is set if the service reports speeds.
 	leastWork [stageCount]time.Duration
+	// spreadShare is the share of the random part of costs that is used, by how much the
+	// speeds of the endpoints differ: 1 if one is at least twice as fast as another.
+	spreadShare float64
 }
 
 func newRequest(now time.Time, q *Query, s *pool) *request {
--- a/core/sqplace/speed.go
+++ b/core/sqplace/speed.go
@@ -10,6 +10,10 @@
 // costPerDecode is the cost of each request that an engine of usual speed is running.
 const costPerDecode = 1 * time.Millisecond
 
+// minSpreadWork is the least work of which the random part of a cost is made. With less, small
+// requests all choose the fast engines, where they wait behind large ones.
+const minSpreadWork = 50 * time.Millisecond
+
 // lateCost is added to the cost of an endpoint that is expected to answer too late.
 const lateCost = 1 * time.Hour
 
@@ -68,28 +72,29 @@
 
 // decodeCost returns the cost of the tokens that the engine generates for others at the
 // same time.
-func (p *Placer) decodeCost(now time.Time, s *pool, n *node) time.Duration {
+func (p *Placer) decodeCost(now time.Time, s *pool, r *request, n *node) time.Duration {
 	cost := n.slowed(time.Duration(n.running(now)+1) * costPerDecode)
-	if s.reportsSpeed {
-		cost = time.Duration(float64(cost) * p.randomWeight())
+	if s.reportsSpeed && r.spreadShare > 0 {
+		cost += time.Duration(float64(cost) * (p.randomWeight() - 1) * r.spreadShare)
 	}
 	return cost - costPerDecode
 }
 
-// spread returns a random change of the cost of an endpoint for the choice among endpoints
+// spread returns a random change of an endpoint's cost for the choice among endpoints
 // of a service that reports speeds. It is proportional to the least work that the request
 // causes at the endpoint, so that faster endpoints are chosen more often and not always:
 // otherwise all gateways would choose the same few until they hear of each other's requests.
-// What a cached prefix saves is not changed. An endpoint that is expected to be late comes
+// What a cached prefix saves is not changed, and nothing among endpoints of equal speed. An
+// endpoint that is expected to be late comes
 // after all others.
 func (p *Placer) spread(s *pool, r *request, n *node, latency time.Duration) time.Duration {
-	if !s.reportsSpeed {
+	if !s.reportsSpeed || r.spreadShare == 0 {
 		return 0
 	}
 	if latency > r.TimeLeft*maxLatencyPercent/100 {
 		return lateCost
 	}
-	return time.Duration(float64(n.slowed(r.leastWork[n.endpoint.Stage()])) * (p.randomWeight() - 1))
+	return time.Duration(float64(n.slowed(r.leastWork[n.endpoint.Stage()])) * (p.randomWeight() - 1) * r.spreadShare)
 }
 
 // setSpeeds sets what the estimates of a request use of the speeds of endpoints, if any of
@@ -98,9 +103,12 @@
 	if !s.speeds.inUse {
 		return
 	}
+	fastest, slowest := math.Inf(1), 0.0
 	for _, n := range s.nodes {
 		n.slowFactor = n.speed.Factor(now)
+		fastest, slowest = min(fastest, n.slowFactor), max(slowest, n.slowFactor)
 	}
+	r.spreadShare = min(1, slowest/fastest-1)
 	if s.engine == nil {
 		r.leastWork[AnyStage] = s.meanDuration
 		return
@@ -111,7 +119,7 @@
 	}
 	for stage := range r.leastWork {
 		prefill := s.prefillTime(least, Stage(stage))
-		r.leastWork[stage] = firstTokenOverhead + prefill + prefill*interferencePercent/100
+		r.leastWork[stage] = max(minSpreadWork, firstTokenOverhead+prefill+prefill*interferencePercent/100)
 	}
 }
 
--- a/core/sqplace/speed_test.go
+++ b/core/sqplace/speed_test.go
@@ -145,7 +145,8 @@
 	}
 }
 
-// TestLearnedSpeed fails if the latency ratio learns a speed that an endpoint reports, or if
+// TestLearnedSpeed fails if the latency ratio or the mean duration learns a speed that an
+// endpoint reports, or if
 // answer times do not correct the speed of one without figures where others report theirs.
 func TestLearnedSpeed(t *testing.T) {
 	for name, reports := range map[string]bool{"reports its speed": true, "others report theirs": false} {
@@ -163,6 +164,7 @@
 			r.RecordFirstToken(now)
 			r.Finish(now, true, true)
 		}
+		assert.Assert(t, !reports || p.pool("engines").meanDuration < usual, "%s: mean duration", name)
 		ratio, mean := p.pool("engines").latencyRatio[Decode], p.nodes["d"].speed.Mean(now)
 		assert.Assert(t, !reports || ratio > 0.99 && ratio < 1.01, "%s: ratio %v", name, ratio)
 		assert.Assert(t, mean > 110 && ratio*mean > 170 && ratio*mean < 280, "%s: ratio %v, mean %v", name, ratio, mean)
@@ -180,4 +182,8 @@
 	c := p.Choose(start, q)
 	assert.Assert(t, c.Endpoint == nil && c.RetryAfter > 0)
 	assert.Assert(t, p.Choose(start.Add(time.Minute), q).Endpoint != nil)
+	p.SetEndpoints([]Endpoint{engineEndpoint("slow", Decode), engineEndpoint("fast", Decode)})
+	for range 200 {
+		assert.Equal(t, p.Choose(start, q).Endpoint.ID(), "fast")
+	}
 }
