Placement computes ages of load reports and cold starts with fewer steps

Change: the end of a load report's use and of a mean's validity is stored; a comparison takes the place of a subtraction.

--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -26,10 +26,10 @@
 	remote Load
 	cache  *prefixCache
 
-	// reported is the endpoint's last load report, localAtReport the value of
-	// local.Running when the report arrived.
+	// reported is the endpoint's last load report, which is used until reportedUntil, and
+	// localAtReport the value of local.Running when the report arrived.
 	reported      sqattempt.LoadReport
-	reportedAt    time.Time
+	reportedUntil time.Time
 	localAtReport int
 
 	// failureRate is the moving average of failed sends, from 0 to 1.
@@ -54,7 +54,7 @@
 // running estimates how many requests are in flight at the endpoint.
 func (n *node) running(now time.Time) int {
 	counted := n.local.Running + n.remote.Running
-	if now.Sub(n.reportedAt) > reportMaxAge {
+	if now.After(n.reportedUntil) {
 		return counted
 	}
 	return max(counted, n.reported.Running+n.reported.Queued+n.local.Running-n.localAtReport)
@@ -97,7 +97,7 @@
 	if n == nil {
 		return
 	}
-	n.reported, n.reportedAt, n.localAtReport = load, now, n.local.Running
+	n.reported, n.reportedUntil, n.localAtReport = load, now.Add(reportMaxAge), n.local.Running
 	if load.Slots > 0 {
 		n.endpoint.cfg.Slots = load.Slots
 	}
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -81,7 +81,10 @@
 
 // ColdRemaining returns how much longer than now the endpoint is slow after its start.
 func (e *Endpoint) ColdRemaining(now time.Time) time.Duration {
-	return max(0, e.cfg.ColdUntil.Sub(now))
+	if !e.cfg.ColdUntil.After(now) {
+		return 0
+	}
+	return e.cfg.ColdUntil.Sub(now)
 }
 
 // coldTolerance is how much two statements of the time until which an endpoint is slow may
--- a/core/sqspeed/estimate.go
+++ b/core/sqspeed/estimate.go
@@ -45,9 +45,9 @@
 	lastAt time.Time
 	// reportedAt is the time of the newest report.
 	reportedAt time.Time
-	// level is the result of Mean at levelAt, 0 if it has to be computed.
-	level   float64
-	levelAt time.Time
+	// level is the result of Mean until levelUntil, 0 if it has to be computed.
+	level      float64
+	levelUntil time.Time
 }
 
 // Known reports whether anything is known of the endpoint's speed.
@@ -99,9 +99,9 @@
 	if !e.Known() {
 		return UsualPercent
 	}
-	if e.level == 0 || now.Sub(e.levelAt) > levelTime {
+	if e.level == 0 || now.After(e.levelUntil) {
 		weight := e.weight * decay(now.Sub(e.updatedAt), meanTime)
-		e.level, e.levelAt = UsualPercent+(e.mean-UsualPercent)*weight/(weight+priorWeight), now
+		e.level, e.levelUntil = UsualPercent+(e.mean-UsualPercent)*weight/(weight+priorWeight), now.Add(levelTime)
 	}
 	return e.level
 }
