Merge speed of endpoints

The random part of costs that depends on open connections is called randomized, the one that depends on speeds spread.

--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -19,6 +19,7 @@
 	firstEventSeconds, requestSeconds, tableSeconds, connectSeconds            *metrics.Histogram
 	quotaRefused, quotaUnanswered, quotaGranted, quotaFailed                   *metrics.Counter
 	quotaWaitSeconds                                                           *metrics.Histogram
+	speedReports, unreadableLoadFigures                                        *metrics.Counter
 }
 
 func newGatewayMetrics(g *gateway) *gatewayMetrics {
@@ -42,9 +43,12 @@
 		quotaGranted:      set.NewCounter(`sequoiadock_gateway_quota_calls{outcome="granted"}`),
 		quotaFailed:       set.NewCounter(`sequoiadock_gateway_quota_calls{outcome="failed"}`),
 		quotaWaitSeconds:  set.NewHistogram("sequoiadock_gateway_quota_wait_seconds"),
+		speedReports:      set.NewCounter("sequoiadock_gateway_speed_reports"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
 		tableSeconds:      set.NewHistogram("sequoiadock_gateway_table_seconds"),
+
+		unreadableLoadFigures: set.NewCounter("sequoiadock_gateway_unreadable_load_figures"),
 	}
 	set.NewGauge("sequoiadock_gateway_running", func() float64 { return float64(m.running.Load()) })
 	set.NewGauge("sequoiadock_gateway_quota_reserved_units", g.quotas.reserved)
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -218,6 +219,8 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case sqerror.KindOf(err) == sqerror.Overloaded:
+		// The caller reads the response only once it has sent its body.
+		_, _ = io.Copy(io.Discard, sqhttp.LimitBody(x.w, x.r.Body, bodyLimit))
 		x.refuse(http.StatusServiceUnavailable, "no memory for the body", memoryRetryAfter)
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "the body is too long", 0)
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -96,15 +96,22 @@
 	nodes := withoutStage(candidates, Prefill)
 	preferred := preferredNode(r.hashes, r.lengths, nodes)
 	var best scoredChoice
+	var bestRank, lowestCost time.Duration
+	var bestNode *node
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
-		cost := p.spread(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached)
-		if best.choice.Endpoint == nil || cost < best.cost {
-			best = scoredChoice{cost: cost, choice: Choice{
-				Endpoint: n.endpointCopy(), ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time",
-			}}
+		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached)
+		if bestNode == nil || cost < lowestCost {
+			lowestCost = cost
 		}
+		if rank := cost + p.spread(s, r, n, latency); bestNode == nil || rank < bestRank {
+			bestNode, bestRank = n, rank
+			best.choice = Choice{ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time"}
+		}
+	}
+	if bestNode != nil {
+		best.choice.Endpoint, best.cost = bestNode.endpointCopy(), lowestCost
 	}
 	return best
 }
@@ -120,7 +127,7 @@
 	if n.endpoint.Stage() == Decode {
 		percent += time.Duration(min(n.running(now), n.slots()) * decodeInterferencePercent)
 	}
-	return s.prefillTime(uncached, n.endpoint.Stage()) * percent / 100
+	return n.slowed(s.prefillTime(uncached, n.endpoint.Stage()) * percent / 100)
 }
 
 // bestRemotePrefill returns the lowest-cost pair of a prefill engine that processes
@@ -163,13 +170,17 @@
 	prefillNodes := withoutStage(candidates, Decode)
 	preferred := preferredNode(r.hashes, r.lengths, prefillNodes)
 	var prefiller *node
-	var prefillCost, prefillLatency time.Duration
+	var lowestCost, prefillLatency, bestRank time.Duration
 	prefillUncached := 0
 	for _, n := range prefillNodes {
 		uncached := r.uncachedTokens(n, preferred)
 		latency := s.directLatency(now, r, n, uncached)
-		if cost := p.spread(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached); prefiller == nil || cost < prefillCost {
-			prefiller, prefillCost, prefillLatency, prefillUncached = n, cost, latency, uncached
+		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached)
+		if prefiller == nil || cost < lowestCost {
+			lowestCost = cost
+		}
+		if rank := cost + p.spread(s, r, n, latency); prefiller == nil || rank < bestRank {
+			prefiller, bestRank, prefillLatency, prefillUncached = n, rank, latency, uncached
 		}
 	}
 	if prefiller == nil {
@@ -183,7 +194,7 @@
 	best.choice.PrefillLatency = prefillLatency
 	best.choice.ExpectedLatency += prefillLatency + s.transferTime(&r.Prompt)
 	best.choice.Reason = "a prefill engine reads the prompt sooner"
-	best.cost += prefillCost + s.transferTime(&r.Prompt) + remotePrefillPenalty
+	best.cost += lowestCost + s.transferTime(&r.Prompt) + remotePrefillPenalty
 	return best, true
 }
 
@@ -191,13 +202,17 @@
 // prefilled.
 func (p *Placer) bestDecode(now time.Time, s *pool, r *request, nodes []*node) scoredChoice {
 	var best scoredChoice
+	var bestNode *node
 	for _, n := range nodes {
-		latency := s.slotWait(now, n) + s.prefillWait(r, n)/4
-		cost := p.spread(now, s, r, n, latency+p.penalty(now, n)+time.Duration(n.running(now))*time.Millisecond)
-		if best.choice.Endpoint == nil || cost < best.cost {
-			best = scoredChoice{cost: cost, choice: Choice{Endpoint: n.endpointCopy(), ExpectedLatency: latency}}
+		latency := s.slotWait(now, n) + n.slowed(s.prefillWait(r, n)/4)
+		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)+p.decodeCost(now, s, r, n))
+		if bestNode == nil || cost < best.cost {
+			bestNode, best = n, scoredChoice{cost: cost, choice: Choice{ExpectedLatency: latency}}
 		}
 	}
+	if bestNode != nil {
+		best.choice.Endpoint = bestNode.endpointCopy()
+	}
 	return best
 }
 
--- a/core/sqplace/connection.go
+++ b/core/sqplace/connection.go
@@ -45,10 +45,10 @@
 	s.connectTime += time.Duration(connectTimeWeight * float64(min(d, maxConnectTime)-s.connectTime))
 }
 
-// spread returns the cost d of an endpoint with its random increase, which makes gateways
+// randomized returns the cost d of an endpoint with its random increase, which makes gateways
 // with the same data choose differently. If the request counts connections, the cost of an
 // endpoint without an idle one includes the time to open it.
-func (p *Placer) spread(now time.Time, s *pool, r *request, n *node, d time.Duration) time.Duration {
+func (p *Placer) randomized(now time.Time, s *pool, r *request, n *node, d time.Duration) time.Duration {
 	if !r.CountConnections {
 		return p.jitter(d)
 	}
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sequoiadock/core/sqattempt"
+	"sequoiadock/core/sqspeed"
 )
 
 const (
@@ -25,10 +26,10 @@
 	remote Load
 	cache  *prefixCache
 
-	// reported is the endpoint's last load report, localAtReport the value of
-	// local.Running when the report arrived.
+	// reported is the endpoint's last load report, which is used until reportedUntil, and
+	// localAtReport the value of local.Running when the report arrived.
 	reported      sqattempt.LoadReport
-	reportedAt    time.Time
+	reportedUntil time.Time
 	localAtReport int
 
 	// failureRate is the moving average of failed sends, from 0 to 1.
@@ -43,6 +44,11 @@
 	connection Connection
 	// list is the age of the list of endpoints.
 	list *listAge
+	// speed is the estimate of how long work takes at the endpoint.
+	speed sqspeed.Estimate
+	// slowFactor is how much longer than usual work takes at the endpoint as of the last
+	// choice, 0 if nothing is known.
+	slowFactor float64
 }
 
 func newNode(list *listAge) *node { return &node{cache: newPrefixCache(), list: list} }
@@ -50,7 +56,7 @@
 // running estimates how many requests are in flight at the endpoint.
 func (n *node) running(now time.Time) int {
 	counted := n.local.Running + n.remote.Running
-	if now.Sub(n.reportedAt) > reportMaxAge {
+	if now.After(n.reportedUntil) {
 		return counted
 	}
 	return max(counted, n.reported.Running+n.reported.Queued+n.local.Running-n.localAtReport)
@@ -93,8 +99,9 @@
 	if n == nil {
 		return
 	}
-	n.reported, n.reportedAt, n.localAtReport = load, now, n.local.Running
+	n.reported, n.reportedUntil, n.localAtReport = load, now.Add(reportMaxAge), n.local.Running
 	if load.Slots > 0 {
 		n.endpoint.cfg.Slots = load.Slots
 	}
+	p.recordSpeed(now, n, load.WorkPercent)
 }
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -81,7 +81,10 @@
 
 // ColdRemaining returns how much longer than now the endpoint is slow after its start.
 func (e *Endpoint) ColdRemaining(now time.Time) time.Duration {
-	return max(0, e.cfg.ColdUntil.Sub(now))
+	if !e.cfg.ColdUntil.After(now) {
+		return 0
+	}
+	return e.cfg.ColdUntil.Sub(now)
 }
 
 // coldTolerance is how much two statements of the time until which an endpoint is slow may
@@ -216,6 +219,8 @@
 	refusals map[string]time.Time
 	// list is the age of the list of endpoints.
 	list *listAge
+	// speeds is what is known of the speeds of all endpoints together.
+	speeds *speedState
 }
 
 // pool holds the endpoints of a service and the latencies observed at them.
@@ -228,6 +233,9 @@
 	// latencyRatio corrects the estimated prefill times, by stage. It is the moving
 	// average of the observed over the uncorrected time to the first token.
 	latencyRatio [stageCount]float64
+	speeds       *speedState
+	// reportsSpeed is set once an endpoint of the service has reported its speed.
+	reportsSpeed bool
 }
 
 // New returns a placer without endpoints.
@@ -235,6 +243,7 @@
 	return &Placer{
 		cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
 		limits: sqlimit.NewKeeper(), refusals: map[string]time.Time{}, list: &listAge{limit: cfg.MaxListAge},
+		speeds: newSpeedState(),
 	}
 }
 
@@ -288,7 +297,7 @@
 func (p *Placer) pool(service string) *pool {
 	s := p.services[service]
 	if s == nil {
-		s = &pool{meanDuration: initialDuration, connectTime: initialConnectTime, latencyRatio: [stageCount]float64{1, 1, 1}}
+		s = &pool{meanDuration: initialDuration, connectTime: initialConnectTime, latencyRatio: [stageCount]float64{1, 1, 1}, speeds: p.speeds}
 		p.services[service] = s
 	}
 	return s
