--- a/core/sqplace/cache.go
+++ b/core/sqplace/cache.go
@@ -137,9 +137,14 @@
 
 // ApplyCacheUpdates records the prefixes that other gateways sent to engines.
 func (p *Placer) ApplyCacheUpdates(now time.Time, updates []CacheUpdate) {
+	p.applyUses(now, updates)
 	for _, u := range updates {
-		if n := p.nodes[u.Endpoint]; n != nil {
-			capacity := p.pool(n.endpoint.Service()).cacheCapacity()
+		n := p.nodes[u.Endpoint]
+		if n == nil {
+			continue
+		}
+		if s := p.pool(n.endpoint.Service()); !s.weighs() {
+			capacity := s.cacheCapacity()
 			n.cache.touch(now, prefixHash(u.PrefixHash), u.Tokens, capacity)
 			p.touchSuffix(now, n, u.SuffixTokens, capacity)
 		}
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -44,7 +44,7 @@
 		retryAfter := min(max(c.ExpectedLatency-maxLatency, minRetryAfter), maxRetryAfter)
 		return Choice{ExpectedLatency: c.ExpectedLatency, RetryAfter: retryAfter, Reason: "the deadline cannot be met"}
 	}
-	return c
+	return p.holdBack(s, c)
 }
 
 // ChooseDecode returns the engine that generates the tokens of a request whose
@@ -98,11 +98,12 @@
 	var best scoredChoice
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
-		latency := s.directLatency(now, r, n, uncached)
+		room := p.roomWait(s, r, n)
+		latency := s.directLatency(now, r, n, uncached) + room
 		cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached)
 		if best.choice.Endpoint == nil || cost < best.cost {
 			best = scoredChoice{cost: cost, choice: Choice{
-				Endpoint: n.endpointCopy(), ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time",
+				Endpoint: n.endpointCopy(), ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time", roomWait: room,
 			}}
 		}
 	}
@@ -163,13 +164,14 @@
 	prefillNodes := withoutStage(candidates, Decode)
 	preferred := preferredNode(r.hashes, r.lengths, prefillNodes)
 	var prefiller *node
-	var prefillCost, prefillLatency time.Duration
+	var prefillCost, prefillLatency, prefillRoom time.Duration
 	prefillUncached := 0
 	for _, n := range prefillNodes {
 		uncached := r.uncachedTokens(n, preferred)
-		latency := s.directLatency(now, r, n, uncached)
+		room := p.roomWait(s, r, n)
+		latency := s.directLatency(now, r, n, uncached) + room
 		if cost := p.jitter(latency+p.penalty(now, n)) + s.interference(now, n, uncached); prefiller == nil || cost < prefillCost {
-			prefiller, prefillCost, prefillLatency, prefillUncached = n, cost, latency, uncached
+			prefiller, prefillCost, prefillLatency, prefillUncached, prefillRoom = n, cost, latency, uncached, room
 		}
 	}
 	if prefiller == nil {
@@ -180,7 +182,7 @@
 		return scoredChoice{}, false
 	}
 	best.choice.PrefillEndpoint, best.choice.PrefillUncachedTokens = prefiller.endpointCopy(), prefillUncached
-	best.choice.PrefillLatency = prefillLatency
+	best.choice.PrefillLatency, best.choice.roomWait = prefillLatency, max(best.choice.roomWait, prefillRoom)
 	best.choice.ExpectedLatency += prefillLatency + s.transferTime(&r.Prompt)
 	best.choice.Reason = "a prefill engine reads the prompt sooner"
 	best.cost += prefillCost + s.transferTime(&r.Prompt) + remotePrefillPenalty
@@ -192,10 +194,11 @@
 func (p *Placer) bestDecode(now time.Time, s *pool, r *request, nodes []*node) scoredChoice {
 	var best scoredChoice
 	for _, n := range nodes {
-		latency := s.slotWait(now, n) + s.prefillWait(r, n)/4
+		room := p.roomWait(s, r, n)
+		latency := s.slotWait(now, n) + s.prefillWait(r, n)/4 + room
 		cost := p.jitter(latency + p.penalty(now, n) + time.Duration(n.running(now))*time.Millisecond)
 		if best.choice.Endpoint == nil || cost < best.cost {
-			best = scoredChoice{cost: cost, choice: Choice{Endpoint: n.endpointCopy(), ExpectedLatency: latency}}
+			best = scoredChoice{cost: cost, choice: Choice{Endpoint: n.endpointCopy(), ExpectedLatency: latency, roomWait: room}}
 		}
 	}
 	return best
--- a/core/sqplace/dispatch.go
+++ b/core/sqplace/dispatch.go
@@ -16,6 +16,8 @@
 	hasFirstToken   bool
 	firstTokenAt    time.Time
 	ended           bool
+	expectation     prefixExpectation
+	reservation     reservation
 }
 
 // StartDispatch records that a request is being sent to the endpoint. The endpoint has to
@@ -26,14 +28,18 @@
 		n = newNode(p.list)
 	}
 	s := p.pool(q.Service)
-	if n.local.PrefillTokens+n.remote.PrefillTokens > 0 || s.slotWait(now, n) > 0 {
+	if n.local.PrefillTokens+n.remote.PrefillTokens > 0 || s.slotWait(now, n) > 0 || p.roomWait(s, &request{Query: q}, n) > 0 {
 		// A wait for other requests says nothing about the engine's speed.
 		expected = 0
 	}
 	n.local.Running++
 	n.local.PrefillTokens += uncached
+	d := &Dispatch{node: n, pool: s, startedAt: now, prefillTokens: uncached, expectedLatency: expected, reservation: s.reserve(n, q)}
+	if s.weighs() && expected > 0 {
+		d.expectation = s.expectPrefix(now, n, &q.Prompt)
+	}
 	p.recordPrefixes(now, s, n, &q.Prompt)
-	return &Dispatch{node: n, pool: s, startedAt: now, prefillTokens: uncached, expectedLatency: expected}
+	return d
 }
 
 // recordPrefixes records that the endpoint will cache the prefixes of a prompt, and
@@ -42,6 +48,10 @@
 	if s.engine == nil {
 		return
 	}
+	if s.weighs() {
+		p.recordUses(s, n, prompt)
+		return
+	}
 	hashes, lengths := prefixHashes(prompt)
 	longestUpdate := -1
 	for i, hash := range hashes {
@@ -65,6 +75,9 @@
 	}
 	r.hasFirstToken, r.firstTokenAt = true, now
 	r.node.local.PrefillTokens -= r.prefillTokens
+	if r.expectation.held > 0 {
+		r.expectedLatency = r.pool.correctReach(r.expectation, now.Sub(r.startedAt))
+	}
 	r.pool.updateLatencyRatio(r.node.endpoint.Stage(), r.expectedLatency, now.Sub(r.startedAt))
 }
 
@@ -79,9 +92,11 @@
 	}
 	r.ended = true
 	r.node.local.Running--
+	r.reservation.release(r.node)
 	r.node.recordOutcome(now, ok, reached)
 	if ok {
 		r.pool.updateMeanDuration(now.Sub(r.startedAt))
+		r.pool.occupancy.record(r.reservation, now.Sub(r.startedAt))
 	}
 }
 
@@ -97,6 +112,7 @@
 	}
 	r.ended = true
 	r.node.local.Running--
+	r.reservation.release(r.node)
 }
 
 // DecodeTime returns the time from the first token to now, or 0 before the first
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -52,11 +52,17 @@
 	lengths []int
 	// prefixCached is set if an engine is known to hold the longest shared prefix.
 	prefixCached bool
+	// weighed is set if the expectedCached of each node was set for this request.
+	weighed bool
 }
 
 func newRequest(now time.Time, q *Query, s *pool) *request {
 	hashes, lengths := prefixHashes(&q.Prompt)
 	r := &request{Query: q, hashes: hashes, lengths: lengths}
+	if s.weighs() {
+		r.weighPrefixes(now, s)
+		return r
+	}
 	for _, n := range s.nodes {
 		if last := len(lengths) - 1; last >= 0 && n.available(now) && n.cache.cachedTokens(hashes, lengths) == lengths[last] {
 			r.prefixCached = true
@@ -67,7 +73,10 @@
 
 // uncachedTokens returns how many prompt tokens the node has to prefill.
 func (r *request) uncachedTokens(n, preferred *node) int {
-	cached := n.cache.cachedTokens(r.hashes, r.lengths)
+	cached := n.expectedCached
+	if !r.weighed {
+		cached = n.cache.cachedTokens(r.hashes, r.lengths)
+	}
 	if last := len(r.lengths) - 1; n == preferred && !r.prefixCached && cached < r.lengths[last] {
 		cached = max(cached, r.lengths[last]*(100-preferredUncachedPercent)/100)
 	}
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -23,7 +23,14 @@
 	// local is the load of this gateway, remote that of all other gateways.
 	local  Load
 	remote Load
-	cache  *prefixCache
+	// bodyBytesAtSum is local.BodyBytes when remote was set.
+	bodyBytesAtSum int
+	cache          *prefixCache
+	// resident is the order in which the engine used prefixes, nil if it is not recorded.
+	resident *residency
+	// expectedCached is how many tokens of the request being placed the engine is expected
+	// to hold.
+	expectedCached int
 
 	// reported is the endpoint's last load report, localAtReport the value of
 	// local.Running when the report arrived.
--- /dev/null
+++ b/core/sqplace/occupancy.go
@@ -0,0 +1,154 @@
+package sqplace
+
+import "time"
+
+const (
+	// urgentReservePercent is the share of an engine's memory, and of the bound on bodies,
+	// that is left to urgent requests and to those that have waited for a large part of
+	// their time.
+	urgentReservePercent = 10
+	// patiencePercent is that part of a request's time.
+	patiencePercent = 50
+	// initialHoldTime is the assumed time for which requests occupy memory before the first
+	// one has ended.
+	initialHoldTime = 300 * time.Millisecond
+	// holdTimeWeight is the weight in the mean time of a request of mean size, and
+	// maxHoldTimeWeight that of a request of any size.
+	holdTimeWeight    = 0.05
+	maxHoldTimeWeight = 0.5
+	// minRoomRecheck and maxRoomRecheck bound the time after which a request that waits for
+	// room chooses again: the estimate is a mean, and other gateways' requests end too.
+	minRoomRecheck = 5 * time.Millisecond
+	maxRoomRecheck = 100 * time.Millisecond
+)
+
+// occupancy is the mean of how long requests occupy the memory of endpoints of a service,
+// weighted with the memory: by Little's law, occupied memory over this time is the rate at
+// which memory becomes free.
+type occupancy struct {
+	holdTime time.Duration
+	meanSize float64
+}
+
+func newOccupancy() occupancy { return occupancy{holdTime: initialHoldTime} }
+
+// reservation is the memory that a request occupies at an endpoint until its end.
+type reservation struct {
+	tokens, bodyBytes int
+}
+
+// size returns the size by which hold times are weighted.
+func (r reservation) size() float64 {
+	if r.tokens > 0 {
+		return float64(r.tokens)
+	}
+	return float64(r.bodyBytes)
+}
+
+func (r reservation) release(n *node) {
+	n.local.MemoryTokens -= r.tokens
+	n.local.BodyBytes -= r.bodyBytes
+}
+
+// SetGateways sets the number of gateways that share the bounds of endpoints. 0 means that it
+// is not known.
+func (p *Placer) SetGateways(n int) { p.gateways = max(n, p.gateways, 1) }
+
+// countsMemory reports whether what requests occupy is counted.
+func (s *pool) countsMemory() bool { return s.limitedMemory || s.reportsSpeed() }
+
+// memoryTokens returns the tokens of KV cache that the request occupies at its end. Parts
+// that other requests share are counted too: whether they are shared at the endpoint is not
+// known, and the endpoint fails if the sum is too low.
+func (q *Query) memoryTokens() int { return q.Prompt.Tokens + q.Prompt.MaxOutputTokens }
+
+// reserve counts what the request occupies at the endpoint.
+func (s *pool) reserve(n *node, q *Query) reservation {
+	if !s.countsMemory() {
+		return reservation{}
+	}
+	r := reservation{bodyBytes: q.BodyBytes}
+	if s.engine != nil {
+		r.tokens = q.memoryTokens()
+	}
+	n.local.MemoryTokens += r.tokens
+	n.local.BodyBytes += r.bodyBytes
+	return r
+}
+
+// record records for how long a request occupied memory.
+func (o *occupancy) record(r reservation, d time.Duration) {
+	size := r.size()
+	if size <= 0 {
+		return
+	}
+	if o.meanSize == 0 {
+		o.meanSize = size
+	}
+	o.meanSize += holdTimeWeight * (size - o.meanSize)
+	o.holdTime += time.Duration(min(holdTimeWeight*size/o.meanSize, maxHoldTimeWeight) * float64(d-o.holdTime))
+}
+
+// mayUseReserve reports whether the request may occupy the memory that is left to urgent
+// requests. A request that has waited for long may too, so that no team's requests wait until
+// their deadline behind those of others.
+func (q *Query) mayUseReserve() bool {
+	return q.Urgent || q.Waited > 0 && q.Waited >= (q.Waited+q.TimeLeft)*patiencePercent/100
+}
+
+// roomWait returns the time until the endpoint has room for the request, or 0 if it has.
+func (p *Placer) roomWait(s *pool, r *request, n *node) time.Duration {
+	if !s.countsMemory() {
+		return 0
+	}
+	wait := time.Duration(0)
+	if s.weighs() {
+		wait = s.timeToFree(r, n.local.MemoryTokens+n.remote.MemoryTokens, r.memoryTokens(), s.engine.KVCapacityTokens)
+	}
+	if bound := p.cfg.MaxEndpointBodyBytes; s.limitedMemory && bound > 0 && r.BodyBytes > 0 {
+		wait = max(wait, s.timeToFree(r, n.local.BodyBytes+n.remote.BodyBytes, r.BodyBytes, bound), p.shareWait(s, r, n, bound))
+	}
+	return wait
+}
+
+// timeToFree returns the time until size more fits below the limit at an endpoint that holds
+// so much. A request that is larger than the limit fits at an endpoint that holds nothing.
+func (s *pool) timeToFree(r *request, held, size, limit int) time.Duration {
+	if !r.mayUseReserve() {
+		limit -= limit / 100 * urgentReservePercent
+	}
+	excess := min(held+size-limit, held)
+	if excess <= 0 {
+		return 0
+	}
+	return time.Duration(float64(s.occupancy.holdTime) * float64(excess) / float64(held))
+}
+
+// shareWait returns the time until this gateway may add the request's body to those at the
+// endpoint. Other gateways hear of it only with the next heartbeats, so between two sums each
+// may add its part of the free bytes, and at least one body.
+func (p *Placer) shareWait(s *pool, r *request, n *node, bound int) time.Duration {
+	added := n.local.BodyBytes - n.bodyBytesAtSum
+	if added <= 0 {
+		return 0
+	}
+	free := max(0, bound-n.bodyBytesAtSum-n.remote.BodyBytes)
+	if added+r.BodyBytes <= free/p.gateways {
+		return 0
+	}
+	return min(s.occupancy.holdTime, maxRoomRecheck)
+}
+
+// holdBack replaces a choice of an endpoint that has no room yet by the time after which to
+// choose again, if endpoints fail when their memory is exceeded. Else the request waits at
+// the endpoint.
+func (p *Placer) holdBack(s *pool, c Choice) Choice {
+	if !s.limitedMemory || c.roomWait == 0 {
+		return c
+	}
+	wait := min(max(c.roomWait, minRoomRecheck), maxRoomRecheck)
+	return Choice{
+		ExpectedLatency: c.ExpectedLatency, RetryAfter: max(c.roomWait, minRetryAfter), Reason: "no endpoint has room for the request",
+		Wait: p.jitter(wait),
+	}
+}
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -129,6 +129,9 @@
 	// PrefillTokens counts the uncached prompt tokens of requests that have
 	// no first token yet.
 	PrefillTokens int
+	// MemoryTokens counts the tokens of KV cache that the requests occupy, BodyBytes the
+	// bytes of their bodies. Both are 0 where endpoints' memory is not considered.
+	MemoryTokens, BodyBytes int
 }
 
 // Query is a request that needs an endpoint.
@@ -149,6 +152,10 @@
 	// one of that version has begun to work on it.
 	SameVersion bool
 	Version     string
+	// BodyBytes is the size of the request's body, Waited how long the request has waited for
+	// room at an endpoint.
+	BodyBytes int
+	Waited    time.Duration
 }
 
 // allows reports whether the version of the endpoint may get the request.
@@ -180,6 +187,11 @@
 	// StaleList is set if endpoints are left, but the list of endpoints is too old to tell
 	// which are draining.
 	StaleList bool
+	// Wait is set if no endpoint has room for the request yet but one is expected to in time.
+	// It is the time after which to choose again.
+	Wait time.Duration
+	// roomWait is the time until the chosen endpoint has room for the request.
+	roomWait time.Duration
 }
 
 // Config configures a Placer.
@@ -191,6 +203,12 @@
 	// MaxListAge is how old a list of endpoints may be when the lease holder sends it. 0 sets
 	// no bound.
 	MaxListAge time.Duration
+	// LimitedMemory is set if endpoints fail when the requests that they hold exceed their
+	// memory.
+	LimitedMemory bool
+	// MaxEndpointBodyBytes bounds the bytes of the request bodies that all gateways have in
+	// flight at one endpoint with LimitedMemory. 0 sets no bound.
+	MaxEndpointBodyBytes int
 }
 
 // Placer holds one gateway's state of all endpoints and chooses among them. It is
@@ -211,6 +229,8 @@
 	refusals map[string]time.Time
 	// list is the age of the list of endpoints.
 	list *listAge
+	// gateways is the number of gateways, at least 1.
+	gateways int
 }
 
 // pool holds the endpoints of a service and the latencies observed at them.
@@ -222,13 +242,18 @@
 	// latencyRatio corrects the estimated prefill times, by stage. It is the moving
 	// average of the observed over the uncorrected time to the first token.
 	latencyRatio [stageCount]float64
+	// limitedMemory is that of the Config. residency and occupancy are used if it is set, or
+	// if endpoints report their speed.
+	limitedMemory bool
+	residency     residencyModel
+	occupancy     occupancy
 }
 
 // New returns a placer without endpoints.
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
-		limits: sqlimit.NewKeeper(), refusals: map[string]time.Time{}, list: &listAge{limit: cfg.MaxListAge},
+		limits: sqlimit.NewKeeper(), refusals: map[string]time.Time{}, list: &listAge{limit: cfg.MaxListAge}, gateways: 1,
 	}
 }
 
@@ -264,7 +289,7 @@
 // endpoint.
 func (p *Placer) SetPeerLoads(loads map[string]Load) {
 	for id, n := range p.nodes {
-		n.remote = loads[id]
+		n.remote, n.bodyBytesAtSum = loads[id], n.local.BodyBytes
 	}
 }
 
@@ -282,7 +307,10 @@
 func (p *Placer) pool(service string) *pool {
 	s := p.services[service]
 	if s == nil {
-		s = &pool{meanDuration: initialDuration, latencyRatio: [stageCount]float64{1, 1, 1}}
+		s = &pool{
+			meanDuration: initialDuration, latencyRatio: [stageCount]float64{1, 1, 1}, limitedMemory: p.cfg.LimitedMemory,
+			residency: newResidencyModel(), occupancy: newOccupancy(),
+		}
 		p.services[service] = s
 	}
 	return s
--- /dev/null
+++ b/core/sqplace/trial_test.go
@@ -0,0 +1,37 @@
+package sqplace
+
+import (
+	"testing"
+	"time"
+)
+
+func TestTrial(t *testing.T) {
+	kinds := []mixedLoad{
+		{name: "A", engines: 15, memory: 393_899, chunk: 4096, tokensPerMilli: 61, longPerSecond: 26.0 / 3, longObjective: 1200 * time.Millisecond},
+		{name: "B", engines: 19, memory: 336_918, chunk: 1024, tokensPerMilli: 48, longPerSecond: 49.0 / 3, longObjective: 600 * time.Millisecond},
+	}
+	for _, k := range kinds {
+		k.parts, k.exchangeEvery = 200, 600*time.Millisecond
+		for _, v := range []string{"plain", "small", "lost", "restarts", "heavy"} {
+			l := k
+			switch v {
+			case "small":
+				l.memory = 90_000
+			case "lost":
+				l.lostPercent = 50
+			case "restarts":
+				l.restartEvery = 3 * time.Second
+			case "heavy":
+				l.longPerSecond *= 2.5
+			}
+			for seed := uint64(1); seed <= 3; seed++ {
+				l.seed = seed
+				before := newMixedRun(t, &l, false).play()
+				run := newMixedRun(t, &l, true)
+				now := run.play()
+				s := run.gateways[0].services["engines"]
+				t.Logf("%s %s %d\n  before %v\n  now    %v  [reach %.2f others %.0f private %.2f ratio %.2f]", k.name, v, seed, before, now, s.residency.reach, s.residency.othersRate, s.residency.privateShare, s.latencyRatio[Decode])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/sqplace/weigh.go
@@ -0,0 +1,252 @@
+package sqplace
+
+import (
+	"math"
+	"time"
+
+	"sequoiadock/core/sqattempt"
+)
+
+const (
+	// initialReach is the share of an engine's memory within which prefixes are assumed to be
+	// held, before observed times to the first token correct it to between minReach and
+	// maxReach.
+	initialReach = 0.9
+	minReach     = 0.05
+	maxReach     = 1.2
+	// reachStep is how far one observation moves the reach, in widths of the doubt, and
+	// reachReturn how far the reach returns to its initial value with each, so that the
+	// faults of a time do not stay.
+	reachStep   = 0.5
+	reachReturn = 0.005
+	// orderDoubtPercent is the doubt about the order of eviction, in percent of the memory,
+	// and countDoubtPercent that about the tokens used since, in percent of them.
+	orderDoubtPercent = 4
+	countDoubtPercent = 10
+	// minProbability is the probability below which a prefix counts as not held.
+	minProbability = 0.02
+	// othersRateWeight is the weight of the newest exchange in the rate of tokens that
+	// other gateways insert.
+	othersRateWeight = 0.1
+	// gapTime is the time without an exchange after which updates may have been lost.
+	gapTime = 2500 * time.Millisecond
+	// sampleTokens is the number of tokens in an update about requests whose prefixes are
+	// too short to be reported. One in so many of these tokens is the start of an update.
+	sampleTokens = 2048
+	// privateShareWeight is the weight of the newest request in the share of prompts that
+	// no other request shares.
+	privateShareWeight = 0.02
+	// firstTokenDeviation is the standard deviation of the logarithm of the time to the first
+	// token about its expectation, and minRatio by how much the expectations with and
+	// without the prefix differ at least if an observation can tell them apart.
+	firstTokenDeviation = 0.4
+	minRatio            = 1.5
+)
+
+// residencyModel estimates the probability that engines of a service hold a prefix. It is
+// one for all engines of the service: a single gateway sends too few requests to each to
+// learn about them apart.
+type residencyModel struct {
+	// reach is the share of the memory within which prefixes are held.
+	reach float64
+	// othersRate is how many tokens a second other gateways insert at one engine, as of the
+	// last exchange of updates at heardAt.
+	othersRate float64
+	heardAt    time.Time
+	// privateShare is the part of the memory of running requests that no others share.
+	privateShare float64
+}
+
+func newResidencyModel() residencyModel { return residencyModel{reach: initialReach, privateShare: 1} }
+
+// reportsSpeed reports whether endpoints of the service report their speed.
+func (s *pool) reportsSpeed() bool { return false }
+
+// weighs reports whether placement weighs what engines may hold and what they have room for.
+func (s *pool) weighs() bool {
+	return (s.limitedMemory || s.reportsSpeed()) && s.engine != nil && s.engine.KVCapacityTokens > 0
+}
+
+// unseen returns how many tokens other gateways have inserted at one engine since what they
+// reported last.
+func (m *residencyModel) unseen(now time.Time) float64 {
+	if m.heardAt.IsZero() {
+		return 0
+	}
+	return m.othersRate * now.Sub(m.heardAt).Seconds()
+}
+
+// probability returns the probability that the engine holds a prefix of the length, and the
+// width of the doubt in tokens.
+func (s *pool) probability(n *node, hash prefixHash, length int, unseen float64) (probability, width float64) {
+	since, ok := n.resident.usedSince(hash)
+	if !ok {
+		return 0, 0
+	}
+	memory := float64(s.engine.KVCapacityTokens)
+	running := float64(n.local.MemoryTokens+n.remote.MemoryTokens) * s.residency.privateShare
+	ahead := max(float64(since)+unseen, running) + float64(length)
+	width = memory*orderDoubtPercent/100 + float64(since)*countDoubtPercent/100 + unseen
+	return 1 / (1 + math.Exp((ahead-memory*s.residency.reach)/width)), width
+}
+
+// weighPrefixes sets how many of the request's tokens each engine is expected to hold.
+func (r *request) weighPrefixes(now time.Time, s *pool) {
+	r.weighed = true
+	unseen := s.residency.unseen(now)
+	for _, n := range s.nodes {
+		n.expectedCached = 0
+		if n.resident == nil {
+			continue
+		}
+		probability, expected, previous := 1.0, 0.0, 0
+		for i, hash := range r.hashes {
+			held, _ := s.probability(n, hash, r.lengths[i], unseen)
+			probability = min(probability, held)
+			if probability < minProbability {
+				break
+			}
+			expected += probability * float64(r.lengths[i]-previous)
+			previous = r.lengths[i]
+		}
+		n.expectedCached = int(expected)
+		if last := len(r.lengths) - 1; last >= 0 && 2*n.expectedCached >= r.lengths[last] && n.available(now) {
+			r.prefixCached = true
+		}
+	}
+}
+
+// residentAt returns the record of the engine's uses.
+func (n *node) residentAt() *residency {
+	if n.resident == nil {
+		n.resident = newResidency()
+	}
+	return n.resident
+}
+
+// recordUses records that the engine processes a prompt, and queues the updates for other
+// gateways. Of requests with short prefixes, a random sample is reported that stands for all
+// of them, since they are many and fill the memory as well.
+func (p *Placer) recordUses(s *pool, n *node, prompt *sqattempt.Prompt) {
+	memory := s.engine.KVCapacityTokens
+	hashes, lengths := prefixHashes(prompt)
+	c, reported, shared := n.residentAt(), -1, 0
+	for i, hash := range hashes {
+		c.use(hash, prompt.Parts[i].Tokens, memory)
+		shared = lengths[i]
+		if lengths[i] >= minPreferredPrefixTokens && len(p.cacheUpdates) < maxCacheUpdates {
+			reported = len(p.cacheUpdates)
+			p.cacheUpdates = append(p.cacheUpdates, CacheUpdate{Endpoint: n.endpoint.ID(), PrefixHash: uint64(hash), Tokens: prompt.Parts[i].Tokens})
+		}
+	}
+	own := prompt.Tokens - shared + prompt.MaxOutputTokens
+	c.insert(own, memory)
+	if total := prompt.Tokens + prompt.MaxOutputTokens; total > 0 {
+		s.residency.privateShare += privateShareWeight * (float64(own)/float64(total) - s.residency.privateShare)
+	}
+	if reported >= 0 {
+		p.cacheUpdates[reported].SuffixTokens = own
+		return
+	}
+	if p.nextRandom()>>33%sampleTokens < uint64(own) && len(p.cacheUpdates) < maxCacheUpdates {
+		p.cacheUpdates = append(p.cacheUpdates, CacheUpdate{Endpoint: n.endpoint.ID(), SuffixTokens: max(own, sampleTokens)})
+	}
+}
+
+// applyUses records what other gateways sent to engines.
+func (p *Placer) applyUses(now time.Time, updates []CacheUpdate) {
+	received := map[*pool]int{}
+	for _, u := range updates {
+		n := p.nodes[u.Endpoint]
+		if n == nil {
+			continue
+		}
+		s := p.pool(n.endpoint.Service())
+		if !s.weighs() {
+			continue
+		}
+		c, memory := n.residentAt(), s.engine.KVCapacityTokens
+		if u.PrefixHash != 0 {
+			c.use(prefixHash(u.PrefixHash), u.Tokens, memory)
+		}
+		c.insert(u.SuffixTokens, memory)
+		received[s] += u.SuffixTokens
+	}
+	for _, s := range p.services {
+		if s.weighs() {
+			s.recordExchange(now, received[s])
+		}
+	}
+}
+
+// recordExchange records that other gateways have reported so many new tokens. After a gap
+// in the exchange, what they would have reported at the usual rate counts as used, since
+// their updates may be lost.
+func (s *pool) recordExchange(now time.Time, received int) {
+	m := &s.residency
+	elapsed := now.Sub(m.heardAt)
+	if m.heardAt.IsZero() || elapsed <= 0 || len(s.nodes) == 0 {
+		m.heardAt = now
+		return
+	}
+	m.heardAt = now
+	each := float64(received) / float64(len(s.nodes))
+	if missing := m.othersRate*elapsed.Seconds() - each; elapsed > gapTime && missing > 0 {
+		for _, n := range s.nodes {
+			n.residentAt().insert(int(missing), s.engine.KVCapacityTokens)
+		}
+		return
+	}
+	m.othersRate += othersRateWeight * (each/elapsed.Seconds() - m.othersRate)
+}
+
+// prefixExpectation is what was expected of the first token of one request.
+type prefixExpectation struct {
+	probability, width float64
+	// held and evicted are the times to the first token with and without the prefix. Both
+	// are 0 if an observation cannot tell them apart.
+	held, evicted time.Duration
+}
+
+// expectPrefix returns what is expected of the request's first token at the node.
+func (s *pool) expectPrefix(now time.Time, n *node, prompt *sqattempt.Prompt) prefixExpectation {
+	hashes, lengths := prefixHashes(prompt)
+	last := len(hashes) - 1
+	if last < 0 || n.resident == nil {
+		return prefixExpectation{}
+	}
+	e := prefixExpectation{}
+	e.probability, e.width = s.probability(n, hashes[last], lengths[last], s.residency.unseen(now))
+	if e.width == 0 {
+		return prefixExpectation{}
+	}
+	stage := n.endpoint.Stage()
+	e.held = firstTokenOverhead + s.prefillTime(prompt.Tokens-lengths[last], stage)
+	e.evicted = firstTokenOverhead + s.prefillTime(prompt.Tokens, stage)
+	if float64(e.evicted) < minRatio*float64(e.held) {
+		return prefixExpectation{}
+	}
+	return e
+}
+
+// correctReach corrects the reach by an observed time to the first token, and returns which
+// of the two expected times it confirms.
+func (s *pool) correctReach(e prefixExpectation, observed time.Duration) time.Duration {
+	ratio := likelihood(observed, e.held) * e.probability
+	posterior := ratio / (ratio + likelihood(observed, e.evicted)*(1-e.probability) + math.SmallestNonzeroFloat64)
+	m := &s.residency
+	m.reach += reachStep * (posterior - e.probability) * e.width / float64(s.engine.KVCapacityTokens)
+	m.reach += reachReturn * (initialReach - m.reach)
+	m.reach = min(max(m.reach, minReach), maxReach)
+	if posterior >= 0.5 {
+		return e.held
+	}
+	return e.evicted
+}
+
+// likelihood returns how likely an observed time is if another was expected, up to a factor
+// that does not depend on the expected one.
+func likelihood(observed, expected time.Duration) float64 {
+	d := math.Log(float64(max(observed, 1))/float64(expected)) / firstTokenDeviation
+	return math.Exp(-d * d / 2)
+}
