--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -118,6 +118,9 @@
 		return 0
 	}
 	percent := time.Duration(interferencePercent)
+	if s.weighs() {
+		percent = time.Duration(interferencePercent * s.residency.behind)
+	}
 	if n.endpoint.Stage() == Decode {
 		percent += time.Duration(min(n.running(now), n.slots()) * decodeInterferencePercent)
 	}
--- a/core/sqplace/trial_test.go
+++ b/core/sqplace/trial_test.go
@@ -12,17 +12,21 @@
 	}
 	for _, k := range kinds {
 		k.parts, k.exchangeEvery = 200, 600*time.Millisecond
-		for _, v := range []string{"plain", "small", "lost", "restarts", "heavy"} {
+		for _, v := range []string{"x5", "small", "lost", "restarts", "parts", "x8"} {
 			l := k
+			l.longPerSecond *= 4
+			l.exchangeEvery = 1200 * time.Millisecond
 			switch v {
 			case "small":
-				l.memory = 90_000
+				l.memory = 140_000
 			case "lost":
 				l.lostPercent = 50
+			case "parts":
+				l.parts = 500
 			case "restarts":
-				l.restartEvery = 3 * time.Second
-			case "heavy":
-				l.longPerSecond *= 2.5
+				l.restartEvery = 2 * time.Second
+			case "x8":
+				l.longPerSecond *= 2
 			}
 			for seed := uint64(1); seed <= 3; seed++ {
 				l.seed = seed
--- a/core/sqplace/weigh.go
+++ b/core/sqplace/weigh.go
@@ -36,11 +36,18 @@
 	// privateShareWeight is the weight of the newest request in the share of prompts that
 	// no other request shares.
 	privateShareWeight = 0.02
+	// minBehind and maxBehind bound how many requests are assumed to wait behind one.
+	minBehind = 1.0
+	maxBehind = 4.0
 	// firstTokenDeviation is the standard deviation of the logarithm of the time to the first
 	// token about its expectation, and minRatio by how much the expectations with and
 	// without the prefix differ at least if an observation can tell them apart.
 	firstTokenDeviation = 0.4
 	minRatio            = 1.5
+	// delayLikelihood is the likelihood of any time above the expected one, relative to that
+	// of the expected one: requests of other gateways that this one does not know of yet
+	// delay a first token as a missing prefix does.
+	delayLikelihood = 0.3
 )
 
 // residencyModel estimates the probability that engines of a service hold a prefix. It is
@@ -55,6 +62,8 @@
 	heardAt    time.Time
 	// privateShare is the part of the memory of running requests that no others share.
 	privateShare float64
+	// behind is how many requests are expected to wait behind one that is being placed.
+	behind float64
 }
 
 func newResidencyModel() residencyModel { return residencyModel{reach: initialReach, privateShare: 1} }
@@ -93,9 +102,13 @@
 // weighPrefixes sets how many of the request's tokens each engine is expected to hold.
 func (r *request) weighPrefixes(now time.Time, s *pool) {
 	r.weighed = true
+	busy := 0
 	unseen := s.residency.unseen(now)
 	for _, n := range s.nodes {
 		n.expectedCached = 0
+		if n.local.PrefillTokens+n.remote.PrefillTokens > 0 {
+			busy++
+		}
 		if n.resident == nil {
 			continue
 		}
@@ -114,6 +127,13 @@
 			r.prefixCached = true
 		}
 	}
+	s.residency.behind = waitingBehind(busy, len(s.nodes))
+}
+
+// waitingBehind returns how many requests wait for one more prompt at an engine if so many of
+// the engines are prefilling: in a queue with this share of busy time, the queue's mean length.
+func waitingBehind(busy, engines int) float64 {
+	return min(max(float64(busy)/float64(max(1, engines-busy)), minBehind), maxBehind)
 }
 
 // residentAt returns the record of the engine's uses.
@@ -248,5 +268,8 @@
 // that does not depend on the expected one.
 func likelihood(observed, expected time.Duration) float64 {
 	d := math.Log(float64(max(observed, 1))/float64(expected)) / firstTokenDeviation
+	if d > 0 {
+		return delayLikelihood + (1-delayLikelihood)*math.Exp(-d*d/2)
+	}
 	return math.Exp(-d * d / 2)
 }
--- a/core/sqplace/weigh_test.go
+++ b/core/sqplace/weigh_test.go
@@ -38,16 +38,18 @@
 
 // mixedResult is what callers got, and how many tokens engines prefilled.
 type mixedResult struct {
-	long, short         []time.Duration
-	longOn, shortOn     int
-	refused, prefilled  int
+	long, short        []time.Duration
+	longOn, shortOn    int
+	refused, prefilled int
+	// overfull counts the requests sent to an engine whose memory they exceed.
+	overfull            int
 	longSent, shortSent int
 }
 
 func (r *mixedResult) String() string {
-	return fmt.Sprintf("long %v/%v on time %.3f, short %v/%v on time %.3f, refused %d, prefilled %dk",
+	return fmt.Sprintf("long %v/%v on time %.3f, short %v/%v on time %.3f, refused %d, overfull %d, prefilled %dk",
 		percentile(r.long, 50), percentile(r.long, 95), r.longOnTime(), percentile(r.short, 50), percentile(r.short, 95),
-		float64(r.shortOn)/float64(r.shortSent), r.refused, r.prefilled/1000)
+		float64(r.shortOn)/float64(r.shortSent), r.refused, r.overfull, r.prefilled/1000)
 }
 
 func (r *mixedResult) longOnTime() float64 { return float64(r.longOn) / float64(r.longSent) }
@@ -94,19 +96,20 @@
 }
 
 // run returns when the first token comes, when the request ends, and the tokens prefilled.
-func (e *mixedEngine) run(now time.Time, l *mixedLoad, q *Query, random *rand.Rand) (first, end time.Time, prefilled int) {
+func (e *mixedEngine) run(now time.Time, l *mixedLoad, q *Query, random *rand.Rand) (first, end time.Time, prefilled int, fits bool) {
 	e.running = slices.DeleteFunc(e.running, func(h heldUntil) bool { return !h.until.After(now) })
 	pinned := 0
 	for _, h := range e.running {
 		pinned += h.tokens
 	}
+	fits = len(e.running) == 0 || pinned+q.memoryTokens() <= l.memory
 	own := q.Prompt.Parts[1].Tokens
 	prefilled = q.Prompt.Tokens
 	hashes, lengths := prefixHashes(&q.Prompt)
-	if e.use(hashes[0], lengths[0], l.memory-pinned) {
+	if e.use(hashes[0], lengths[0], l.memory) {
 		prefilled = own
 	}
-	e.use(prefixHash(random.Uint64()), own, l.memory-pinned)
+	e.use(prefixHash(random.Uint64()), own, l.memory)
 	slow := 1 + mixedSpeedSpread*(2*random.Float64()-1)
 	work := time.Duration(float64(prefilled) / l.tokensPerMilli * slow * float64(time.Millisecond))
 	startAt := e.freeAt
@@ -122,8 +125,8 @@
 	}
 	e.freeAt = e.freeAt.Add(work)
 	end = first.Add(time.Duration(q.Prompt.MaxOutputTokens*outputTokenMillis) * time.Millisecond)
-	e.running = append(e.running, heldUntil{own, end})
-	return first, end, prefilled
+	e.running = append(e.running, heldUntil{q.memoryTokens(), end})
+	return first, end, prefilled, fits
 }
 
 // mixedEvent is something that happens to a dispatch at a time.
@@ -131,6 +134,17 @@
 	at       time.Time
 	dispatch *Dispatch
 	end      bool
+	// arrival is a request that waits for room, of no dispatch.
+	arrival *mixedArrival
+}
+
+// mixedArrival is a request of a caller.
+type mixedArrival struct {
+	at      time.Time
+	query   *Query
+	gateway *Placer
+	long    bool
+	due     time.Duration
 }
 
 // mixedRun is the state of one simulated run.
@@ -143,6 +157,7 @@
 	engines  map[string]*mixedEngine
 	ids      []string
 	events   []mixedEvent
+	result   mixedResult
 }
 
 func newMixedRun(t testing.TB, l *mixedLoad, weighs bool) *mixedRun {
@@ -205,18 +220,20 @@
 
 // advance plays the events until now.
 func (r *mixedRun) advance(now time.Time) {
-	kept := r.events[:0]
-	for _, e := range r.events {
+	events := r.events
+	r.events = nil
+	for _, e := range events {
 		switch {
 		case e.at.After(now):
-			kept = append(kept, e)
+			r.events = append(r.events, e)
+		case e.arrival != nil:
+			r.send(now, e.arrival)
 		case e.end:
 			e.dispatch.Finish(e.at, true, true)
 		default:
 			e.dispatch.RecordFirstToken(e.at)
 		}
 	}
-	r.events = kept
 	r.exchange(now)
 }
 
@@ -238,7 +255,6 @@
 // play runs the load and returns what callers got. Requests that no endpoint takes are
 // counted as refused, after they have waited for room at the gateway.
 func (r *mixedRun) play() *mixedResult {
-	res := &mixedResult{}
 	l := r.load
 	rate := l.longPerSecond + shortPerSecond
 	nextRestart := start.Add(l.restartEvery)
@@ -253,59 +269,54 @@
 			r.list()
 		}
 		long := r.random.Float64() < l.longPerSecond/rate
-		r.send(now, r.query(long), long, res)
+		q := r.query(long)
+		r.send(now, &mixedArrival{at: now, query: q, gateway: r.gateways[r.random.IntN(len(r.gateways))], long: long, due: q.TimeLeft})
 	}
-	return res
+	return &r.result
 }
 
-func (r *mixedRun) send(now time.Time, q *Query, long bool, res *mixedResult) {
-	counted := now.Sub(start) >= mixedWarmup*time.Second
-	p := r.gateways[r.random.IntN(len(r.gateways))]
-	objective := q.TimeLeft
-	// The caller's own deadline is later than the objective.
-	q.TimeLeft *= 2
-	var waited time.Duration
-	c := p.Choose(now, q)
-	for c.Wait > 0 && c.Wait < q.TimeLeft {
-		// The loads are those of the arrival: later arrivals are not played in between.
-		waited += c.Wait
-		q.TimeLeft -= c.Wait
-		q.Waited = waited
-		if c = p.Choose(now.Add(waited), q); waited > objective {
-			break
-		}
-	}
-	if counted {
-		if long {
-			res.longSent++
-		} else {
-			res.shortSent++
-		}
-	}
-	if c.Endpoint == nil {
-		if counted {
-			res.refused++
-		}
+// send places a request, or lets it wait for room at its gateway.
+func (r *mixedRun) send(now time.Time, a *mixedArrival) {
+	res, q := &r.result, a.query
+	// The caller's own deadline is twice the objective after the arrival.
+	q.Waited = now.Sub(a.at)
+	q.TimeLeft = 2*a.due - q.Waited
+	c := a.gateway.Choose(now, q)
+	if c.Wait > 0 {
+		r.events = append(r.events, mixedEvent{at: now.Add(c.Wait), arrival: a})
 		return
 	}
-	sentAt := now.Add(waited)
-	d := p.StartDispatch(sentAt, c.Endpoint, q, c.UncachedTokens, c.ExpectedLatency)
-	first, end, prefilled := r.engines[c.Endpoint.ID()].run(sentAt, r.load, q, r.random)
-	r.events = append(r.events, mixedEvent{at: first, dispatch: d}, mixedEvent{at: end, dispatch: d, end: true})
+	counted := a.at.Sub(start) >= mixedWarmup*time.Second
+	var first, end time.Time
+	var prefilled int
+	took, fits := 2*a.due, false
+	if c.Endpoint != nil {
+		d := a.gateway.StartDispatch(now, c.Endpoint, q, c.UncachedTokens, c.ExpectedLatency)
+		first, end, prefilled, fits = r.engines[c.Endpoint.ID()].run(now, r.load, q, r.random)
+		r.events = append(r.events, mixedEvent{at: first, dispatch: d}, mixedEvent{at: end, dispatch: d, end: true})
+		took = first.Sub(a.at)
+	}
 	if !counted {
 		return
 	}
 	res.prefilled += prefilled
-	took := first.Sub(now)
-	if long {
+	switch {
+	case c.Endpoint == nil:
+		res.refused++
+	case !fits:
+		res.overfull++
+	}
+	onTime := 0
+	if fits && took <= a.due {
+		onTime = 1
+	}
+	if a.long {
+		res.longSent++
+		res.longOn += onTime
 		res.long = append(res.long, took)
-		if took <= objective {
-			res.longOn++
-		}
 		return
 	}
+	res.shortSent++
+	res.shortOn += onTime
 	res.short = append(res.short, took)
-	if took <= objective {
-		res.shortOn++
-	}
 }
