--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -119,7 +119,7 @@
 	}
 	percent := time.Duration(interferencePercent)
 	if s.weighs() {
-		percent = time.Duration(interferencePercent * s.residency.behind)
+		percent = time.Duration(interferencePercent * s.residency.waitingBehind())
 	}
 	if n.endpoint.Stage() == Decode {
 		percent += time.Duration(min(n.running(now), n.slots()) * decodeInterferencePercent)
--- a/core/sqplace/trial_test.go
+++ b/core/sqplace/trial_test.go
@@ -12,11 +12,16 @@
 	}
 	for _, k := range kinds {
 		k.parts, k.exchangeEvery = 200, 600*time.Millisecond
-		for _, v := range []string{"x5", "small", "lost", "restarts", "parts", "x8"} {
+		for _, v := range []string{"mis", "misB", "x5", "small", "lost", "restarts", "parts", "x8"} {
 			l := k
 			l.longPerSecond *= 4
 			l.exchangeEvery = 1200 * time.Millisecond
 			switch v {
+			case "mis":
+				l.declaredMemory, l.memory = l.memory, l.memory*2/5
+			case "misB":
+				l.declaredMemory, l.memory = l.memory, l.memory*2/5
+				l.longPerSecond /= 2
 			case "small":
 				l.memory = 140_000
 			case "lost":
--- a/core/sqplace/weigh.go
+++ b/core/sqplace/weigh.go
@@ -14,11 +14,14 @@
 	initialReach = 0.9
 	minReach     = 0.05
 	maxReach     = 1.2
-	// reachStep is how far one observation moves the reach, in widths of the doubt, and
-	// reachReturn how far the reach returns to its initial value with each, so that the
-	// faults of a time do not stay.
+	// reachStep is how far one certain observation moves the reach towards the place in the
+	// memory that it contradicts the reach at, and reachReturn how far the reach returns to
+	// its initial value with each, so that the faults of a time do not stay.
 	reachStep   = 0.5
 	reachReturn = 0.005
+	// maxCertainty bounds the probability that observations start from, so that they can
+	// correct a wrong reach.
+	maxCertainty = 0.9
 	// orderDoubtPercent is the doubt about the order of eviction, in percent of the memory,
 	// and countDoubtPercent that about the tokens used since, in percent of them.
 	orderDoubtPercent = 4
@@ -44,10 +47,11 @@
 	// without the prefix differ at least if an observation can tell them apart.
 	firstTokenDeviation = 0.4
 	minRatio            = 1.5
-	// delayLikelihood is the likelihood of any time above the expected one, relative to that
-	// of the expected one: requests of other gateways that this one does not know of yet
-	// delay a first token as a missing prefix does.
-	delayLikelihood = 0.3
+	// minDelayLikelihood bounds the likelihood of any time above the expected one from below,
+	// relative to that of the expected one.
+	minDelayLikelihood = 0.1
+	// busyWeight is the weight of the newest placement in the share of busy engines.
+	busyWeight = 0.05
 )
 
 // residencyModel estimates the probability that engines of a service hold a prefix. It is
@@ -62,8 +66,8 @@
 	heardAt    time.Time
 	// privateShare is the part of the memory of running requests that no others share.
 	privateShare float64
-	// behind is how many requests are expected to wait behind one that is being placed.
-	behind float64
+	// busy is the mean share of engines that are prefilling.
+	busy float64
 }
 
 func newResidencyModel() residencyModel { return residencyModel{reach: initialReach, privateShare: 1} }
@@ -85,9 +89,9 @@
 	return m.othersRate * now.Sub(m.heardAt).Seconds()
 }
 
-// probability returns the probability that the engine holds a prefix of the length, and the
-// width of the doubt in tokens.
-func (s *pool) probability(n *node, hash prefixHash, length int, unseen float64) (probability, width float64) {
+// probability returns the probability that the engine holds a prefix of the length, and how
+// many tokens would be evicted after it, as a share of the memory.
+func (s *pool) probability(n *node, hash prefixHash, length int, unseen float64) (probability, depth float64) {
 	since, ok := n.resident.usedSince(hash)
 	if !ok {
 		return 0, 0
@@ -95,8 +99,8 @@
 	memory := float64(s.engine.KVCapacityTokens)
 	running := float64(n.local.MemoryTokens+n.remote.MemoryTokens) * s.residency.privateShare
 	ahead := max(float64(since)+unseen, running) + float64(length)
-	width = memory*orderDoubtPercent/100 + float64(since)*countDoubtPercent/100 + unseen
-	return 1 / (1 + math.Exp((ahead-memory*s.residency.reach)/width)), width
+	width := memory*orderDoubtPercent/100 + float64(since)*countDoubtPercent/100 + unseen
+	return 1 / (1 + math.Exp((ahead-memory*s.residency.reach)/width)), ahead / memory
 }
 
 // weighPrefixes sets how many of the request's tokens each engine is expected to hold.
@@ -127,13 +131,13 @@
 			r.prefixCached = true
 		}
 	}
-	s.residency.behind = waitingBehind(busy, len(s.nodes))
+	s.residency.busy += busyWeight * (float64(busy)/float64(len(s.nodes)) - s.residency.busy)
 }
 
-// waitingBehind returns how many requests wait for one more prompt at an engine if so many of
-// the engines are prefilling: in a queue with this share of busy time, the queue's mean length.
-func waitingBehind(busy, engines int) float64 {
-	return min(max(float64(busy)/float64(max(1, engines-busy)), minBehind), maxBehind)
+// waitingBehind returns how many requests wait for one more prompt at an engine: the mean
+// length of a queue whose server is busy for this share of the time.
+func (m *residencyModel) waitingBehind() float64 {
+	return min(max(m.busy/max(1-m.busy, 1/maxBehind), minBehind), maxBehind)
 }
 
 // residentAt returns the record of the engine's uses.
@@ -222,7 +226,7 @@
 
 // prefixExpectation is what was expected of the first token of one request.
 type prefixExpectation struct {
-	probability, width float64
+	probability, depth float64
 	// held and evicted are the times to the first token with and without the prefix. Both
 	// are 0 if an observation cannot tell them apart.
 	held, evicted time.Duration
@@ -236,8 +240,8 @@
 		return prefixExpectation{}
 	}
 	e := prefixExpectation{}
-	e.probability, e.width = s.probability(n, hashes[last], lengths[last], s.residency.unseen(now))
-	if e.width == 0 {
+	e.probability, e.depth = s.probability(n, hashes[last], lengths[last], s.residency.unseen(now))
+	if e.depth == 0 {
 		return prefixExpectation{}
 	}
 	stage := n.endpoint.Stage()
@@ -252,10 +256,16 @@
 // correctReach corrects the reach by an observed time to the first token, and returns which
 // of the two expected times it confirms.
 func (s *pool) correctReach(e prefixExpectation, observed time.Duration) time.Duration {
-	ratio := likelihood(observed, e.held) * e.probability
-	posterior := ratio / (ratio + likelihood(observed, e.evicted)*(1-e.probability) + math.SmallestNonzeroFloat64)
+	prior := min(max(e.probability, 1-maxCertainty), maxCertainty)
 	m := &s.residency
-	m.reach += reachStep * (posterior - e.probability) * e.width / float64(s.engine.KVCapacityTokens)
+	held := m.likelihood(observed, e.held) * prior
+	posterior := held / (held + m.likelihood(observed, e.evicted)*(1-prior) + math.SmallestNonzeroFloat64)
+	switch {
+	case e.depth < m.reach && posterior < prior:
+		m.reach += reachStep * (prior - posterior) * (e.depth - m.reach)
+	case e.depth > m.reach && posterior > prior:
+		m.reach += reachStep * (posterior - prior) * (e.depth - m.reach)
+	}
 	m.reach += reachReturn * (initialReach - m.reach)
 	m.reach = min(max(m.reach, minReach), maxReach)
 	if posterior >= 0.5 {
@@ -265,11 +275,14 @@
 }
 
 // likelihood returns how likely an observed time is if another was expected, up to a factor
-// that does not depend on the expected one.
-func likelihood(observed, expected time.Duration) float64 {
+// that does not depend on the expected one. Requests of other gateways that this one does not
+// know of yet delay a first token as a missing prefix does, the more often the busier engines
+// are.
+func (m *residencyModel) likelihood(observed, expected time.Duration) float64 {
 	d := math.Log(float64(max(observed, 1))/float64(expected)) / firstTokenDeviation
 	if d > 0 {
-		return delayLikelihood + (1-delayLikelihood)*math.Exp(-d*d/2)
+		delay := max(m.busy, minDelayLikelihood)
+		return delay + (1-delay)*math.Exp(-d*d/2)
 	}
 	return math.Exp(-d * d / 2)
 }
--- a/core/sqplace/weigh_test.go
+++ b/core/sqplace/weigh_test.go
@@ -16,8 +16,10 @@
 // mixedLoad is a third of a customer's load: long prompts with shared prefixes and short
 // urgent ones at the same engines.
 type mixedLoad struct {
-	name                        string
-	engines, memory, chunk      int
+	name                   string
+	engines, memory, chunk int
+	// declaredMemory is the memory by the routing table, 0 if that is right.
+	declaredMemory              int
 	tokensPerMilli              float64
 	longPerSecond               float64
 	longObjective               time.Duration
@@ -162,7 +164,7 @@
 
 func newMixedRun(t testing.TB, l *mixedLoad, weighs bool) *mixedRun {
 	table, err := sqtable.New(sqtable.Config{Version: 1, Services: []sqtable.ServiceConfig{
-		{Name: "engines", Engine: &sqtable.Engine{Slots: 16, KVCapacityTokens: l.memory, KVBytesPerToken: 1, LinkMbps: 1}},
+		{Name: "engines", Engine: &sqtable.Engine{Slots: 16, KVCapacityTokens: max(l.memory, l.declaredMemory), KVBytesPerToken: 1, LinkMbps: 1}},
 	}})
 	assert.NilError(t, err)
 	r := &mixedRun{load: l, random: rand.New(rand.NewPCG(l.seed, 7)), engines: map[string]*mixedEngine{}, pending: make([][]CacheUpdate, mixedGateways)}
