Gateways wait for room at endpoints whose memory is limited; loads count memory and bodies

Cause: an endpoint fails if the requests that it holds exceed its memory, and nobody summed what they hold. Heartbeats now carry tokens of KV cache and bytes of bodies, the holder sums them, and a gateway holds a request back until an endpoint has room. Only with the contract that limits endpoints' memory.

--- a/app/sqcoordinator/gateways.go
+++ b/app/sqcoordinator/gateways.go
@@ -47,6 +47,33 @@
 type inFlight struct {
 	running        uint32
 	uncachedTokens uint64
+	memoryTokens   uint64
+	bodyBytes      uint64
+}
+
+func (l *inFlight) add(other inFlight) {
+	l.running += other.running
+	l.uncachedTokens += other.uncachedTokens
+	l.memoryTokens += other.memoryTokens
+	l.bodyBytes += other.bodyBytes
+}
+
+func (l *inFlight) subtract(other inFlight) {
+	l.running -= other.running
+	l.uncachedTokens -= other.uncachedTokens
+	l.memoryTokens -= other.memoryTokens
+	l.bodyBytes -= other.bodyBytes
+}
+
+func (l *inFlight) message(id string) *sqrpc.InFlight {
+	m := &sqrpc.InFlight{}
+	l.fill(m, id)
+	return m
+}
+
+// fill sets the fields of the message about the endpoint.
+func (l *inFlight) fill(m *sqrpc.InFlight, id string) {
+	m.Id, m.Running, m.UncachedTokens, m.MemoryTokens, m.BodyBytes = id, l.running, l.uncachedTokens, l.memoryTokens, l.bodyBytes
 }
 
 // inFlightSum is the sum of what a number of gateways have in flight at an endpoint.
@@ -98,7 +125,9 @@
 	r.uncount(gw)
 	gw.inFlight = make(map[string]inFlight, len(req.GetLoads()))
 	for _, l := range req.GetLoads() {
-		gw.inFlight[l.GetId()] = inFlight{running: l.GetRunning(), uncachedTokens: l.GetUncachedTokens()}
+		gw.inFlight[l.GetId()] = inFlight{
+			running: l.GetRunning(), uncachedTokens: l.GetUncachedTokens(), memoryTokens: l.GetMemoryTokens(), bodyBytes: l.GetBodyBytes(),
+		}
 	}
 	r.count(gw)
 	previous := gw.demand
@@ -132,8 +161,7 @@
 			r.inFlight[id] = sum
 		}
 		sum.gateways++
-		sum.running += l.running
-		sum.uncachedTokens += l.uncachedTokens
+		sum.add(l)
 	}
 }
 
@@ -146,8 +174,7 @@
 	for id, l := range gw.inFlight {
 		sum := r.inFlight[id]
 		sum.gateways--
-		sum.running -= l.running
-		sum.uncachedTokens -= l.uncachedTokens
+		sum.subtract(l)
 		if sum.gateways == 0 {
 			delete(r.inFlight, id)
 		}
@@ -210,7 +237,7 @@
 func (r *gatewayRegistry) loadList() *sqrpc.InFlightList {
 	list := &sqrpc.InFlightList{Loads: make([]*sqrpc.InFlight, 0, len(r.inFlight))}
 	for id, sum := range r.inFlight {
-		list.Loads = append(list.Loads, &sqrpc.InFlight{Id: id, Running: sum.running, UncachedTokens: sum.uncachedTokens})
+		list.Loads = append(list.Loads, sum.message(id))
 	}
 	return list
 }
@@ -229,7 +256,9 @@
 			continue
 		}
 		m := &messages[len(others)]
-		m.Id, m.Running, m.UncachedTokens = id, sum.running-l.running, sum.uncachedTokens-l.uncachedTokens
+		rest := sum.inFlight
+		rest.subtract(l)
+		rest.fill(m, id)
 		others = append(others, m)
 	}
 	return others
--- a/app/sqcoordinator/gateways_test.go
+++ b/app/sqcoordinator/gateways_test.go
@@ -51,12 +51,14 @@
 				}
 				for _, l := range q.GetLoads() {
 					sum := want[l.GetId()]
-					want[l.GetId()] = inFlight{sum.running + l.GetRunning(), sum.uncachedTokens + l.GetUncachedTokens()}
+					want[l.GetId()] = inFlight{
+						sum.running + l.GetRunning(), sum.uncachedTokens + l.GetUncachedTokens(), sum.memoryTokens + l.GetMemoryTokens(), sum.bodyBytes + l.GetBodyBytes(),
+					}
 				}
 			}
 			got := map[string]inFlight{}
 			for _, l := range r.othersInFlight(req.GetGateway()) {
-				got[l.GetId()] = inFlight{l.GetRunning(), l.GetUncachedTokens()}
+				got[l.GetId()] = inFlight{l.GetRunning(), l.GetUncachedTokens(), l.GetMemoryTokens(), l.GetBodyBytes()}
 			}
 			for id, l := range want {
 				assert.Equal(t, got[id], l, "seed %d", seed)
--- a/app/sqgateway/beats.go
+++ b/app/sqgateway/beats.go
@@ -38,6 +38,8 @@
 		}
 		l.Running = max(0, l.Running-own.Running)
 		l.PrefillTokens = max(0, l.PrefillTokens-own.PrefillTokens)
+		l.MemoryTokens = max(0, l.MemoryTokens-own.MemoryTokens)
+		l.BodyBytes = max(0, l.BodyBytes-own.BodyBytes)
 		sum[id] = l
 	}
 }
@@ -60,7 +62,10 @@
 func loadsByEndpoint(inFlight []*sqrpc.InFlight) map[string]sqplace.Load {
 	loads := make(map[string]sqplace.Load, len(inFlight))
 	for _, load := range inFlight {
-		loads[load.GetId()] = sqplace.Load{Running: int(load.GetRunning()), PrefillTokens: int(load.GetUncachedTokens())}
+		loads[load.GetId()] = sqplace.Load{
+			Running: int(load.GetRunning()), PrefillTokens: int(load.GetUncachedTokens()),
+			MemoryTokens: int(load.GetMemoryTokens()), BodyBytes: int(load.GetBodyBytes()),
+		}
 	}
 	return loads
 }
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -93,7 +93,12 @@
 	// DrainTimeout is the time after which an endpoint that is listed as draining gets no
 	// more requests. 0 sets no bound.
 	DrainTimeout time.Duration
-	Wire         sqcore.Wire
+	// LimitedMemory is set if endpoints fail when the requests that they hold exceed their
+	// memory. MaxEndpointBodyBytes then bounds the bytes of request bodies that all gateways
+	// have in flight at one endpoint.
+	LimitedMemory        bool
+	MaxEndpointBodyBytes int
+	Wire                 sqcore.Wire
 	// DirectoryHandler returns the handler that tells callers the gateways'
 	// addresses. ReadyHandler returns the handler of the platform's readiness probe.
 	DirectoryHandler func(d sqcore.Directory) http.Handler
@@ -171,12 +176,15 @@
 		awaitedTables:     make(chan awaitedTable, 1),
 		coordinatorClient: sqhttp.NewClient(heartbeatTimeout),
 		beats:             newBeatLog(),
-		placer:            sqplace.New(sqplace.Config{Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:]), MaxListAge: cfg.DrainTimeout * listAgePercent / 100}),
-		retryBudget:       sqretry.New(sqclock.Now(), cfg.Retry),
-		billingCounter:    sqwindow.NewCounter(cfg.BillingWindow),
-		evidence:          sqquarantine.NewEvidence(sqclock.Now()),
-		demandByService:   map[string]*demand{},
-		origins:           sqorigin.NewLog(maxOrigins),
+		placer: sqplace.New(sqplace.Config{
+			Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:]), MaxListAge: cfg.DrainTimeout * listAgePercent / 100,
+			LimitedMemory: cfg.LimitedMemory, MaxEndpointBodyBytes: cfg.MaxEndpointBodyBytes,
+		}),
+		retryBudget:     sqretry.New(sqclock.Now(), cfg.Retry),
+		billingCounter:  sqwindow.NewCounter(cfg.BillingWindow),
+		evidence:        sqquarantine.NewEvidence(sqclock.Now()),
+		demandByService: map[string]*demand{},
+		origins:         sqorigin.NewLog(maxOrigins),
 	}
 	g.startedAt = sqclock.Now()
 	g.view.Store(&view{lastHeardAt: g.startedAt})
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -138,7 +138,10 @@
 	own := g.placer.OwnLoads()
 	g.beats.record(req.Number, own)
 	for id, load := range own {
-		req.Loads = append(req.Loads, &sqrpc.InFlight{Id: id, Running: uint32(load.Running), UncachedTokens: uint64(load.PrefillTokens)})
+		req.Loads = append(req.Loads, &sqrpc.InFlight{
+			Id: id, Running: uint32(load.Running), UncachedTokens: uint64(load.PrefillTokens),
+			MemoryTokens: uint64(load.MemoryTokens), BodyBytes: uint64(load.BodyBytes),
+		})
 	}
 	for _, update := range g.placer.TakeCacheUpdates() {
 		g.unsentCacheUpdates = append(g.unsentCacheUpdates, &sqrpc.CacheUpdate{Endpoint: update.Endpoint,
--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -15,7 +15,7 @@
 	running atomic.Int64
 
 	answered, refused, failed, disconnected, resends, closeFramed, quarantined *metrics.Counter
-	leavingEndpoints, endpointRefusals, staleListRefusals                      *metrics.Counter
+	leavingEndpoints, endpointRefusals, staleListRefusals, roomWaits           *metrics.Counter
 	firstEventSeconds, requestSeconds, tableSeconds                            *metrics.Histogram
 }
 
@@ -33,6 +33,7 @@
 		leavingEndpoints:  set.NewCounter("sequoiadock_gateway_leaving_endpoints"),
 		endpointRefusals:  set.NewCounter("sequoiadock_gateway_endpoint_refusals"),
 		staleListRefusals: set.NewCounter("sequoiadock_gateway_stale_list_refusals"),
+		roomWaits:         set.NewCounter("sequoiadock_gateway_room_waits"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
 		tableSeconds:      set.NewHistogram("sequoiadock_gateway_table_seconds"),
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -69,7 +69,9 @@
 	// request and its prompt were last sent to. They are used in logs only.
 	lastEndpoint, lastPrefillEndpoint string
 	// lastVersion is the software version of the last endpoint.
-	lastVersion     string
+	lastVersion string
+	// waitedForRoom is how long the request has waited until an endpoint has room for it.
+	waitedForRoom   time.Duration
 	expectedLatency time.Duration
 	firstEventAt    time.Time
 	// sendFirstEventAt is when the first event of the last send came, or the zero time.
--- /dev/null
+++ b/app/sqgateway/room.go
@@ -0,0 +1,17 @@
+package sqgateway
+
+import (
+	"time"
+
+	"sequoiadock/io/sqclock"
+)
+
+// awaitRoom waits, since no endpoint has room for the request yet, before endpoints are
+// compared again. It returns early at the request's deadline, or if the caller disconnects.
+func (x *request) awaitRoom(now time.Time, wait time.Duration) {
+	if x.waitedForRoom == 0 {
+		x.g.metrics.roomWaits.Inc()
+	}
+	sqclock.Sleep(x.ctx, wait)
+	x.waitedForRoom += sqclock.Now().Sub(now)
+}
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -32,6 +32,10 @@
 			return
 		}
 		choice := x.choose(now)
+		if choice.Wait > 0 {
+			x.awaitRoom(now, choice.Wait)
+			continue
+		}
 		if choice.Endpoint == nil {
 			if choice.StaleList {
 				x.g.metrics.staleListRefusals.Inc()
@@ -52,6 +56,9 @@
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	choice := x.g.placer.Choose(now, x.query(now))
+	if choice.Wait > 0 {
+		return choice
+	}
 	d := x.g.demandFor(x.service)
 	if choice.Endpoint == nil {
 		d.refused++
@@ -87,6 +94,7 @@
 	q := &sqplace.Query{
 		Service: x.service, Prompt: x.attempt.Prompt, Urgent: x.urgent, TimeLeft: x.firstEventTimeLeft(now),
 		Tried: x.triedEndpoints, NoRemotePrefill: x.noRemotePrefill || x.stream != nil,
+		BodyBytes: len(x.body), Waited: x.waitedForRoom,
 	}
 	if x.origin != nil {
 		q.SameVersion, q.Version = true, x.origin.Version
--- a/app/sqgateway/view.go
+++ b/app/sqgateway/view.go
@@ -117,6 +117,7 @@
 	g.locator.SetAddresses(res.GetControls())
 	g.mu.Lock()
 	g.retryBudget.SetGateways(v.gatewayCount)
+	g.placer.SetGateways(v.gatewayCount)
 	g.placer.SetPeerLoads(g.peerLoads(res))
 	g.evidence.Acknowledge(receivedAt, old.leaseHolder, res.GetHolder())
 	g.mu.Unlock()
--- a/app/sqprocess/members.go
+++ b/app/sqprocess/members.go
@@ -70,6 +70,7 @@
 		Seeds:         settings.Cluster().Seeds(),
 		Retry:         sqretry.Config{Ratio: b.RetryRatio(), ExtraRetries: b.ExtraRetries(), Window: b.RetryWindow()},
 		BillingWindow: b.BillingWindow(), StopGracePeriod: b.StopGracePeriod(), TableApplyTimeout: b.TableApplyTimeout(), DrainTimeout: b.DrainTimeout(), Wire: sqadapter.Wire{},
+		LimitedMemory: sqadapter.LimitsMemory(n.Contracts()), MaxEndpointBodyBytes: int(b.MaxEndpointBodyBytes()),
 		DirectoryHandler: sqadapter.DirectoryHandler, ReadyHandler: sqadapter.ReadyHandler,
 		SeedUpdates: watchSettings(ctx, settingsWatch{log: log, role: "gateway", file: p.file, hup: p.hup, readSeeds: func() ([]string, []*sqerror.Error) {
 			s, faults := sqsettings.ReadGateway(p.file)
--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -23,9 +23,9 @@
 	// local is the load of this gateway, remote that of all other gateways.
 	local  Load
 	remote Load
-	// bodyBytesAtSum is local.BodyBytes when remote was set.
-	bodyBytesAtSum int
-	cache          *prefixCache
+	// localAtSum is local when remote was set.
+	localAtSum Load
+	cache      *prefixCache
 	// resident is the order in which the engine used prefixes, nil if it is not recorded.
 	resident *residency
 	// expectedCached is how many tokens of the request being placed the engine is expected
--- a/core/sqplace/occupancy.go
+++ b/core/sqplace/occupancy.go
@@ -9,6 +9,9 @@
 	urgentReservePercent = 10
 	// patiencePercent is that part of a request's time.
 	patiencePercent = 50
+	// unsharedPercent is the share of an engine's memory below which gateways add requests
+	// without regard to what others may add at the same time.
+	unsharedPercent = 50
 	// initialHoldTime is the assumed time for which requests occupy memory before the first
 	// one has ended.
 	initialHoldTime = 300 * time.Millisecond
@@ -51,8 +54,12 @@
 }
 
 // SetGateways sets the number of gateways that share the bounds of endpoints. 0 means that it
-// is not known.
-func (p *Placer) SetGateways(n int) { p.gateways = max(n, p.gateways, 1) }
+// is not known, and leaves the last one.
+func (p *Placer) SetGateways(n int) {
+	if n > 0 {
+		p.gateways = n
+	}
+}
 
 // countsMemory reports whether what requests occupy is counted.
 func (s *pool) countsMemory() bool { return s.limitedMemory || s.reportsSpeed() }
@@ -103,37 +110,50 @@
 	}
 	wait := time.Duration(0)
 	if s.weighs() {
-		wait = s.timeToFree(r, n.local.MemoryTokens+n.remote.MemoryTokens, r.memoryTokens(), s.engine.KVCapacityTokens)
+		u := use{n.local.MemoryTokens, n.localAtSum.MemoryTokens, n.remote.MemoryTokens, r.memoryTokens(), s.engine.KVCapacityTokens}
+		wait = s.timeToFree(r, u)
+		if s.limitedMemory && u.held()*100 > u.limit*unsharedPercent {
+			wait = max(wait, p.shareWait(s, u))
+		}
 	}
 	if bound := p.cfg.MaxEndpointBodyBytes; s.limitedMemory && bound > 0 && r.BodyBytes > 0 {
-		wait = max(wait, s.timeToFree(r, n.local.BodyBytes+n.remote.BodyBytes, r.BodyBytes, bound), p.shareWait(s, r, n, bound))
+		u := use{n.local.BodyBytes, n.localAtSum.BodyBytes, n.remote.BodyBytes, r.BodyBytes, bound}
+		wait = max(wait, s.timeToFree(r, u), p.shareWait(s, u))
 	}
 	return wait
 }
 
-// timeToFree returns the time until size more fits below the limit at an endpoint that holds
-// so much. A request that is larger than the limit fits at an endpoint that holds nothing.
-func (s *pool) timeToFree(r *request, held, size, limit int) time.Duration {
+// use is how much of one resource of an endpoint gateways use: this one, this one when it
+// last heard of the others, and the others. A request that needs size more is to be placed
+// under the limit.
+type use struct {
+	local, localAtSum, remote, size, limit int
+}
+
+func (u use) held() int { return u.local + u.remote }
+
+// timeToFree returns the time until the request fits under the limit. One that is larger than
+// the limit fits at an endpoint that holds nothing.
+func (s *pool) timeToFree(r *request, u use) time.Duration {
+	limit := u.limit
 	if !r.mayUseReserve() {
 		limit -= limit / 100 * urgentReservePercent
 	}
-	excess := min(held+size-limit, held)
+	held := u.held()
+	excess := min(held+u.size-limit, held)
 	if excess <= 0 {
 		return 0
 	}
 	return time.Duration(float64(s.occupancy.holdTime) * float64(excess) / float64(held))
 }
 
-// shareWait returns the time until this gateway may add the request's body to those at the
-// endpoint. Other gateways hear of it only with the next heartbeats, so between two sums each
-// may add its part of the free bytes, and at least one body.
-func (p *Placer) shareWait(s *pool, r *request, n *node, bound int) time.Duration {
-	added := n.local.BodyBytes - n.bodyBytesAtSum
-	if added <= 0 {
-		return 0
-	}
-	free := max(0, bound-n.bodyBytesAtSum-n.remote.BodyBytes)
-	if added+r.BodyBytes <= free/p.gateways {
+// shareWait returns the time until this gateway may add the request to what the endpoint
+// holds. Other gateways hear of it only with the next heartbeats, so between two sums each
+// may add its part of what was free, and at least one request.
+func (p *Placer) shareWait(s *pool, u use) time.Duration {
+	added := u.local - u.localAtSum
+	free := max(0, u.limit-u.localAtSum-u.remote)
+	if added <= 0 || added+u.size <= free/p.gateways {
 		return 0
 	}
 	return min(s.occupancy.holdTime, maxRoomRecheck)
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -289,7 +289,7 @@
 // endpoint.
 func (p *Placer) SetPeerLoads(loads map[string]Load) {
 	for id, n := range p.nodes {
-		n.remote, n.bodyBytesAtSum = loads[id], n.local.BodyBytes
+		n.remote, n.localAtSum = loads[id], n.local
 	}
 }
 
--- a/io/sqsettings/coordinator.go
+++ b/io/sqsettings/coordinator.go
@@ -127,19 +127,20 @@
 
 // Bounds holds the times and limits agreed with the platform.
 type Bounds struct {
-	revocationTimeout time.Duration
-	takeoverDelay     time.Duration
-	fencedReceivers   bool
-	tableApplyTimeout time.Duration
-	drainTimeout      time.Duration
-	billingWindow     time.Duration
-	stopGracePeriod   time.Duration
-	retryRatio        float64
-	extraRetries      float64
-	retryWindow       time.Duration
-	quotaWindow       time.Duration
-	quotaOverrun      float64
-	quotaSlack        float64
+	revocationTimeout    time.Duration
+	takeoverDelay        time.Duration
+	fencedReceivers      bool
+	tableApplyTimeout    time.Duration
+	drainTimeout         time.Duration
+	billingWindow        time.Duration
+	stopGracePeriod      time.Duration
+	retryRatio           float64
+	extraRetries         float64
+	retryWindow          time.Duration
+	quotaWindow          time.Duration
+	quotaOverrun         float64
+	quotaSlack           float64
+	maxEndpointBodyBytes int64
 }
 
 // RevocationTimeout returns the time within which a withdrawn key stops working.
@@ -187,3 +188,7 @@
 // QuotaSlack returns how many units all gateways together may use within QuotaWindow beyond
 // that.
 func (b Bounds) QuotaSlack() float64 { return b.quotaSlack }
+
+// MaxEndpointBodyBytes returns how many bytes of request bodies all gateways together may
+// have in flight at one endpoint whose memory is limited.
+func (b Bounds) MaxEndpointBodyBytes() int64 { return b.maxEndpointBodyBytes }
--- a/io/sqsettings/coordinatorfile.go
+++ b/io/sqsettings/coordinatorfile.go
@@ -43,6 +43,7 @@
 	QuotaWindowSeconds float64 `toml:"quotaWindowSeconds"`
 	QuotaOverrun       float64 `toml:"quotaOverrun"`
 	QuotaSlack         float64 `toml:"quotaSlack"`
+	EndpointMegabytes  int64   `toml:"endpointMegabytes"`
 }
 
 // coordinatorFile is the decoded content of coordinator.toml.
@@ -88,6 +89,10 @@
 	defaultQuotaWindow       = 10 * time.Second
 	defaultQuotaOverrun      = 0.0
 	defaultQuotaSlack        = 0.0
+	// defaultEndpointMegabytes is the memory of 64 bodies of the largest size that routing
+	// tables allow by default, four times the slots of an engine.
+	defaultEndpointMegabytes = 256
+	maxEndpointMegabytes     = 1 << 20
 	defaultMemoryMegabytes   = 128
 	maxMemoryMegabytes       = 1 << 20
 	defaultMaxDescriptors    = 4096
@@ -154,19 +159,20 @@
 
 func (b *boundsFile) toBounds(c *checker) Bounds {
 	return Bounds{
-		revocationTimeout: c.millis("bounds.revokeMillis", b.RevokeMillis, defaultRevocationTimeout, maxDuration),
-		takeoverDelay:     c.millis("bounds.leaseMillis", b.LeaseMillis, defaultTakeoverDelay, maxDuration),
-		fencedReceivers:   b.FencedReceivers,
-		tableApplyTimeout: c.millis("bounds.configApplyMillis", b.ConfigApplyMillis, defaultTableApplyTimeout, maxDuration),
-		drainTimeout:      c.millis("bounds.drainMillis", b.DrainMillis, defaultDrainBound, maxDuration),
-		billingWindow:     c.seconds("bounds.windowSeconds", b.WindowSeconds, defaultBillingWindow),
-		stopGracePeriod:   c.seconds("bounds.graceSeconds", b.GraceSeconds, defaultStopGracePeriod),
-		retryRatio:        c.nonNegative("bounds.retryRatio", b.RetryRatio, defaultRetryRatio),
-		extraRetries:      c.nonNegative("bounds.retryExtra", b.RetryExtra, defaultExtraRetries),
-		retryWindow:       c.seconds("bounds.retryWindowSeconds", b.RetryWindowSeconds, defaultRetryWindow),
-		quotaWindow:       c.seconds("bounds.quotaWindowSeconds", b.QuotaWindowSeconds, defaultQuotaWindow),
-		quotaOverrun:      c.nonNegative("bounds.quotaOverrun", b.QuotaOverrun, defaultQuotaOverrun),
-		quotaSlack:        c.nonNegative("bounds.quotaSlack", b.QuotaSlack, defaultQuotaSlack),
+		revocationTimeout:    c.millis("bounds.revokeMillis", b.RevokeMillis, defaultRevocationTimeout, maxDuration),
+		takeoverDelay:        c.millis("bounds.leaseMillis", b.LeaseMillis, defaultTakeoverDelay, maxDuration),
+		fencedReceivers:      b.FencedReceivers,
+		tableApplyTimeout:    c.millis("bounds.configApplyMillis", b.ConfigApplyMillis, defaultTableApplyTimeout, maxDuration),
+		drainTimeout:         c.millis("bounds.drainMillis", b.DrainMillis, defaultDrainBound, maxDuration),
+		billingWindow:        c.seconds("bounds.windowSeconds", b.WindowSeconds, defaultBillingWindow),
+		stopGracePeriod:      c.seconds("bounds.graceSeconds", b.GraceSeconds, defaultStopGracePeriod),
+		retryRatio:           c.nonNegative("bounds.retryRatio", b.RetryRatio, defaultRetryRatio),
+		extraRetries:         c.nonNegative("bounds.retryExtra", b.RetryExtra, defaultExtraRetries),
+		retryWindow:          c.seconds("bounds.retryWindowSeconds", b.RetryWindowSeconds, defaultRetryWindow),
+		quotaWindow:          c.seconds("bounds.quotaWindowSeconds", b.QuotaWindowSeconds, defaultQuotaWindow),
+		quotaOverrun:         c.nonNegative("bounds.quotaOverrun", b.QuotaOverrun, defaultQuotaOverrun),
+		quotaSlack:           c.nonNegative("bounds.quotaSlack", b.QuotaSlack, defaultQuotaSlack),
+		maxEndpointBodyBytes: c.count("bounds.endpointMegabytes", b.EndpointMegabytes, defaultEndpointMegabytes, maxEndpointMegabytes) << 20,
 	}
 }
 
