--- a/app/sqcoordinator/gateways_test.go
+++ b/app/sqcoordinator/gateways_test.go
@@ -38,7 +38,7 @@
 			req := registryBeat(fmt.Sprint("g", rng.IntN(6)))
 			req.Run = fmt.Sprint(rng.IntN(2))
 			for e := range rng.IntN(5) {
-				req.Loads = append(req.Loads, &sqrpc.InFlight{Id: fmt.Sprint("e", e), Running: uint32(rng.IntN(3)), UncachedTokens: uint64(rng.IntN(100))})
+				req.Loads = append(req.Loads, &sqrpc.InFlight{Id: fmt.Sprint("e", e), Running: uint32(rng.IntN(3)), UncachedTokens: uint64(rng.IntN(100)), MemoryTokens: uint64(rng.IntN(100)), BodyBytes: uint64(rng.IntN(100))})
 			}
 			last[req.GetGateway()], beatAt[req.GetGateway()] = req, now
 			r.record(now, req, nil)
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -94,7 +94,7 @@
 // bestDirect returns the endpoint of lowest cost that prefills the prompt itself.
 func (p *Placer) bestDirect(now time.Time, s *pool, r *request, candidates []*node) scoredChoice {
 	nodes := withoutStage(candidates, Prefill)
-	preferred := preferredNode(r.hashes, r.lengths, nodes)
+	preferred := r.preferred(nodes)
 	var best scoredChoice
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
@@ -165,7 +165,7 @@
 // there is none.
 func (p *Placer) bestPair(now time.Time, s *pool, r *request, candidates []*node) (scoredChoice, bool) {
 	prefillNodes := withoutStage(candidates, Decode)
-	preferred := preferredNode(r.hashes, r.lengths, prefillNodes)
+	preferred := r.preferred(prefillNodes)
 	var prefiller *node
 	var prefillCost, prefillLatency, prefillRoom time.Duration
 	prefillUncached := 0
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -71,6 +71,15 @@
 	return r
 }
 
+// preferred returns the node that is preferred for the request's prefix, or nil if that does
+// not matter, since an engine is known to hold the prefix.
+func (r *request) preferred(nodes []*node) *node {
+	if r.prefixCached {
+		return nil
+	}
+	return preferredNode(r.hashes, r.lengths, nodes)
+}
+
 // uncachedTokens returns how many prompt tokens the node has to prefill.
 func (r *request) uncachedTokens(n, preferred *node) int {
 	cached := n.expectedCached
