--- a/app/sqgateway/room.go
+++ b/app/sqgateway/room.go
@@ -12,6 +12,12 @@
 	if x.waitedForRoom == 0 {
 		x.g.metrics.roomWaits.Inc()
 	}
+	x.g.mu.Lock()
+	w := x.g.placer.StartRoomWait(x.query(now))
+	x.g.mu.Unlock()
 	sqclock.Sleep(x.ctx, wait)
+	x.g.mu.Lock()
+	w.End()
+	x.g.mu.Unlock()
 	x.waitedForRoom += sqclock.Now().Sub(now)
 }
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -40,11 +40,12 @@
 	if c.Endpoint == nil {
 		return p.noEndpoint(now, s, q, "no endpoint can be reached")
 	}
+	c = p.addQueueWait(s, q, c)
 	if maxLatency := q.TimeLeft * maxLatencyPercent / 100; c.ExpectedLatency > maxLatency {
 		retryAfter := min(max(c.ExpectedLatency-maxLatency, minRetryAfter), maxRetryAfter)
 		return Choice{ExpectedLatency: c.ExpectedLatency, RetryAfter: retryAfter, Reason: "the deadline cannot be met"}
 	}
-	return p.holdBack(s, c)
+	return p.holdBack(s, q, c)
 }
 
 // ChooseDecode returns the engine that generates the tokens of a request whose
--- a/core/sqplace/occupancy.go
+++ b/core/sqplace/occupancy.go
@@ -20,9 +20,11 @@
 	holdTimeWeight    = 0.05
 	maxHoldTimeWeight = 0.5
 	// minRoomRecheck and maxRoomRecheck bound the time after which a request that waits for
-	// room chooses again: the estimate is a mean, and other gateways' requests end too.
+	// room chooses again: the estimate is a mean, and other gateways' requests end too. It is
+	// recheckPercent of its time left at most.
 	minRoomRecheck = 5 * time.Millisecond
-	maxRoomRecheck = 100 * time.Millisecond
+	maxRoomRecheck = 250 * time.Millisecond
+	recheckPercent = 15
 )
 
 // occupancy is the mean of how long requests occupy the memory of endpoints of a service,
@@ -31,6 +33,9 @@
 type occupancy struct {
 	holdTime time.Duration
 	meanSize float64
+	// held is the memory that requests occupy at all engines, waiting that which requests
+	// that wait at this gateway will occupy.
+	held, waiting int
 }
 
 func newOccupancy() occupancy { return occupancy{holdTime: initialHoldTime} }
@@ -159,14 +164,46 @@
 	return min(s.occupancy.holdTime, maxRoomRecheck)
 }
 
+// RoomWait is the wait of one request at the gateway until an endpoint has room for it.
+type RoomWait struct {
+	pool   *pool
+	tokens int
+}
+
+// StartRoomWait records that a request waits for room.
+func (p *Placer) StartRoomWait(q *Query) *RoomWait {
+	w := &RoomWait{pool: p.pool(q.Service), tokens: q.memoryTokens()}
+	w.pool.occupancy.waiting += w.tokens
+	return w
+}
+
+// End records that the request waits no longer, or is about to choose again.
+func (w *RoomWait) End() {
+	w.pool.occupancy.waiting -= w.tokens
+	w.tokens = 0
+}
+
+// addQueueWait adds to the choice the time until the requests are served that wait before this
+// one, here and probably at the other gateways. Urgent requests do not wait for them.
+func (p *Placer) addQueueWait(s *pool, q *Query, c Choice) Choice {
+	o := &s.occupancy
+	if !s.limitedMemory || c.roomWait == 0 || q.Urgent || q.Waited > 0 || o.held == 0 {
+		return c
+	}
+	wait := time.Duration(float64(o.holdTime) * float64(o.waiting) * float64(p.gateways) / float64(o.held))
+	c.ExpectedLatency += wait
+	c.roomWait += wait
+	return c
+}
+
 // holdBack replaces a choice of an endpoint that has no room yet by the time after which to
 // choose again, if endpoints fail when their memory is exceeded. Else the request waits at
 // the endpoint.
-func (p *Placer) holdBack(s *pool, c Choice) Choice {
+func (p *Placer) holdBack(s *pool, q *Query, c Choice) Choice {
 	if !s.limitedMemory || c.roomWait == 0 {
 		return c
 	}
-	wait := min(max(c.roomWait, minRoomRecheck), maxRoomRecheck)
+	wait := max(min(c.roomWait, maxRoomRecheck, q.TimeLeft*recheckPercent/100), minRoomRecheck)
 	return Choice{
 		ExpectedLatency: c.ExpectedLatency, RetryAfter: max(c.roomWait, minRetryAfter), Reason: "no endpoint has room for the request",
 		Wait: p.jitter(wait),
--- a/core/sqplace/weigh.go
+++ b/core/sqplace/weigh.go
@@ -80,6 +80,16 @@
 	return (s.limitedMemory || s.reportsSpeed()) && s.engine != nil && s.engine.KVCapacityTokens > 0
 }
 
+// weighsAny reports whether that is so for any service.
+func (p *Placer) weighsAny() bool {
+	for _, s := range p.services {
+		if s.weighs() {
+			return true
+		}
+	}
+	return false
+}
+
 // unseen returns how many tokens other gateways have inserted at one engine since what they
 // reported last.
 func (m *residencyModel) unseen(now time.Time) float64 {
@@ -106,10 +116,14 @@
 // weighPrefixes sets how many of the request's tokens each engine is expected to hold.
 func (r *request) weighPrefixes(now time.Time, s *pool) {
 	r.weighed = true
-	busy := 0
+	if len(s.nodes) == 0 {
+		return
+	}
+	busy, held := 0, 0
 	unseen := s.residency.unseen(now)
 	for _, n := range s.nodes {
 		n.expectedCached = 0
+		held += n.local.MemoryTokens + n.remote.MemoryTokens
 		if n.local.PrefillTokens+n.remote.PrefillTokens > 0 {
 			busy++
 		}
@@ -131,6 +145,7 @@
 			r.prefixCached = true
 		}
 	}
+	s.occupancy.held = held
 	s.residency.busy += busyWeight * (float64(busy)/float64(len(s.nodes)) - s.residency.busy)
 }
 
@@ -179,6 +194,9 @@
 
 // applyUses records what other gateways sent to engines.
 func (p *Placer) applyUses(now time.Time, updates []CacheUpdate) {
+	if !p.weighsAny() {
+		return
+	}
 	received := map[*pool]int{}
 	for _, u := range updates {
 		n := p.nodes[u.Endpoint]
--- a/core/sqplace/weighload_test.go
+++ b/core/sqplace/weighload_test.go
@@ -96,6 +96,7 @@
 	at      time.Time
 	due     time.Duration
 	gateway *Placer
+	wait    *RoomWait
 }
 
 // mixedRun plays a load. It counts the times to the first token of long requests, the shares on
@@ -224,10 +225,14 @@
 
 // send places a request whose caller waits for twice the objective.
 func (r *mixedRun) send(now time.Time, q *mixedRequest) {
+	if q.wait != nil {
+		q.wait.End()
+	}
 	q.Waited = now.Sub(q.at)
 	q.TimeLeft = 2*q.due - q.Waited
 	c := q.gateway.Choose(now, q.Query)
 	if c.Wait > 0 {
+		q.wait = q.gateway.StartRoomWait(q.Query)
 		r.events = append(r.events, mixedEvent{at: now.Add(c.Wait), waiting: q})
 		return
 	}
