Merge cached prefixes and room

Services whose endpoints report their speed weigh cached prefixes as the contract on endpoints' memory makes others do; expected times to the first token use the speed.

--- a/app/sqgateway/metrics.go
+++ b/app/sqgateway/metrics.go
@@ -19,7 +19,7 @@
 	firstEventSeconds, requestSeconds, tableSeconds, connectSeconds            *metrics.Histogram
 	quotaRefused, quotaUnanswered, quotaGranted, quotaFailed                   *metrics.Counter
 	quotaWaitSeconds                                                           *metrics.Histogram
-	speedReports, unreadableLoadFigures                                        *metrics.Counter
+	speedReports, unreadableLoadFigures, roomWaits                             *metrics.Counter
 }
 
 func newGatewayMetrics(g *gateway) *gatewayMetrics {
@@ -44,6 +44,7 @@
 		quotaFailed:       set.NewCounter(`sequoiadock_gateway_quota_calls{outcome="failed"}`),
 		quotaWaitSeconds:  set.NewHistogram("sequoiadock_gateway_quota_wait_seconds"),
 		speedReports:      set.NewCounter("sequoiadock_gateway_speed_reports"),
+		roomWaits:         set.NewCounter("sequoiadock_gateway_room_waits"),
 		firstEventSeconds: set.NewHistogram("sequoiadock_gateway_first_event_seconds"),
 		requestSeconds:    set.NewHistogram("sequoiadock_gateway_request_seconds"),
 		tableSeconds:      set.NewHistogram("sequoiadock_gateway_table_seconds"),
--- a/app/sqprocess/members.go
+++ b/app/sqprocess/members.go
@@ -71,6 +71,7 @@
 		BillingWindow: b.BillingWindow(), StopGracePeriod: b.StopGracePeriod(), TableApplyTimeout: b.TableApplyTimeout(), DrainTimeout: b.DrainTimeout(), Quota: quotaBounds(b), Wire: sqadapter.Wire{},
 		VM:          sqdirectory.VM{MemoryBytes: n.VM().MemoryBytes(), LinkMegabits: n.VM().LinkMegabits(), ProcessorShare: n.VM().ProcessorShare()},
 		MemoryBytes: n.VM().MemoryBytes(), MaxDescriptors: n.VM().MaxDescriptors(),
+		LimitedMemory: sqadapter.LimitsMemory(n.Contracts()), MaxEndpointBodyBytes: int(b.MaxEndpointBodyBytes()),
 		DirectoryHandler: sqadapter.DirectoryHandler, ReadyHandler: sqadapter.ReadyHandler,
 		SeedUpdates: watchSettings(ctx, settingsWatch{log: log, role: "gateway", file: p.file, hup: p.hup, readSeeds: func() ([]string, []*sqerror.Error) {
 			s, faults := sqsettings.ReadGateway(p.file)
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -40,11 +40,12 @@
 	if c.Endpoint == nil {
 		return p.noEndpoint(now, s, q, "no endpoint can be reached")
 	}
+	c = p.addQueueWait(s, q, c)
 	if maxLatency := q.TimeLeft * maxLatencyPercent / 100; c.ExpectedLatency > maxLatency {
 		retryAfter := min(max(c.ExpectedLatency-maxLatency, minRetryAfter), maxRetryAfter)
 		return Choice{ExpectedLatency: c.ExpectedLatency, RetryAfter: retryAfter, Reason: "the deadline cannot be met"}
 	}
-	return c
+	return p.holdBack(s, q, c)
 }
 
 // ChooseDecode returns the engine that generates the tokens of a request whose
@@ -94,20 +95,21 @@
 // bestDirect returns the endpoint of lowest cost that prefills the prompt itself.
 func (p *Placer) bestDirect(now time.Time, s *pool, r *request, candidates []*node) scoredChoice {
 	nodes := withoutStage(candidates, Prefill)
-	preferred := preferredNode(r.hashes, r.lengths, nodes)
+	preferred := r.preferred(nodes)
 	var best scoredChoice
 	var bestRank, lowestCost time.Duration
 	var bestNode *node
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
-		latency := s.directLatency(now, r, n, uncached)
+		room := p.roomWait(s, r, n)
+		latency := s.directLatency(now, r, n, uncached) + room
 		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached)
 		if bestNode == nil || cost < lowestCost {
 			lowestCost = cost
 		}
 		if rank := cost + p.spread(s, r, n, latency); bestNode == nil || rank < bestRank {
 			bestNode, bestRank = n, rank
-			best.choice = Choice{ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time"}
+			best.choice = Choice{ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time", roomWait: room}
 		}
 	}
 	if bestNode != nil {
@@ -124,6 +126,9 @@
 		return 0
 	}
 	percent := time.Duration(interferencePercent)
+	if s.weighs() {
+		percent = time.Duration(interferencePercent * s.residency.waitingBehind())
+	}
 	if n.endpoint.Stage() == Decode {
 		percent += time.Duration(min(n.running(now), n.slots()) * decodeInterferencePercent)
 	}
@@ -168,19 +173,20 @@
 // there is none.
 func (p *Placer) bestPair(now time.Time, s *pool, r *request, candidates []*node) (scoredChoice, bool) {
 	prefillNodes := withoutStage(candidates, Decode)
-	preferred := preferredNode(r.hashes, r.lengths, prefillNodes)
+	preferred := r.preferred(prefillNodes)
 	var prefiller *node
-	var lowestCost, prefillLatency, bestRank time.Duration
+	var lowestCost, prefillLatency, prefillRoom, bestRank time.Duration
 	prefillUncached := 0
 	for _, n := range prefillNodes {
 		uncached := r.uncachedTokens(n, preferred)
-		latency := s.directLatency(now, r, n, uncached)
+		room := p.roomWait(s, r, n)
+		latency := s.directLatency(now, r, n, uncached) + room
 		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached)
 		if prefiller == nil || cost < lowestCost {
 			lowestCost = cost
 		}
 		if rank := cost + p.spread(s, r, n, latency); prefiller == nil || rank < bestRank {
-			prefiller, bestRank, prefillLatency, prefillUncached = n, rank, latency, uncached
+			prefiller, bestRank, prefillLatency, prefillUncached, prefillRoom = n, rank, latency, uncached, room
 		}
 	}
 	if prefiller == nil {
@@ -191,7 +197,7 @@
 		return scoredChoice{}, false
 	}
 	best.choice.PrefillEndpoint, best.choice.PrefillUncachedTokens = prefiller.endpointCopy(), prefillUncached
-	best.choice.PrefillLatency = prefillLatency
+	best.choice.PrefillLatency, best.choice.roomWait = prefillLatency, max(best.choice.roomWait, prefillRoom)
 	best.choice.ExpectedLatency += prefillLatency + s.transferTime(&r.Prompt)
 	best.choice.Reason = "a prefill engine reads the prompt sooner"
 	best.cost += lowestCost + s.transferTime(&r.Prompt) + remotePrefillPenalty
@@ -204,10 +210,11 @@
 	var best scoredChoice
 	var bestNode *node
 	for _, n := range nodes {
-		latency := s.slotWait(now, n) + n.slowed(s.prefillWait(r, n)/4)
+		room := p.roomWait(s, r, n)
+		latency := s.slotWait(now, n) + n.slowed(s.prefillWait(r, n)/4) + room
 		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)+p.decodeCost(now, s, r, n))
 		if bestNode == nil || cost < best.cost {
-			bestNode, best = n, scoredChoice{cost: cost, choice: Choice{ExpectedLatency: latency}}
+			bestNode, best = n, scoredChoice{cost: cost, choice: Choice{ExpectedLatency: latency, roomWait: room}}
 		}
 	}
 	if bestNode != nil {
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -58,12 +58,18 @@
 	// spreadShare is the share of the random part of costs that is used, by how much the
 	// speeds of the endpoints differ: 1 if one is at least twice as fast as another.
 	spreadShare float64
+	// weighed is set if the expectedCached of each node was set for this request.
+	weighed bool
 }
 
 func newRequest(now time.Time, q *Query, s *pool) *request {
 	hashes, lengths := prefixHashes(&q.Prompt)
 	r := &request{Query: q, hashes: hashes, lengths: lengths}
 	r.setSpeeds(now, s)
+	if s.weighs() {
+		r.weighPrefixes(now, s)
+		return r
+	}
 	for _, n := range s.nodes {
 		if last := len(lengths) - 1; last >= 0 && n.available(now) && n.cache.cachedTokens(hashes, lengths) == lengths[last] {
 			r.prefixCached = true
@@ -72,9 +78,21 @@
 	return r
 }
 
+// preferred returns the node that is preferred for the request's prefix, or nil if that does
+// not matter, since an engine is known to hold the prefix.
+func (r *request) preferred(nodes []*node) *node {
+	if r.prefixCached {
+		return nil
+	}
+	return preferredNode(r.hashes, r.lengths, nodes)
+}
+
 // uncachedTokens returns how many prompt tokens the node has to prefill.
 func (r *request) uncachedTokens(n, preferred *node) int {
-	cached := n.cache.cachedTokens(r.hashes, r.lengths)
+	cached := n.expectedCached
+	if !r.weighed {
+		cached = n.cache.cachedTokens(r.hashes, r.lengths)
+	}
 	if last := len(r.lengths) - 1; n == preferred && !r.prefixCached && cached < r.lengths[last] {
 		cached = max(cached, r.lengths[last]*(100-preferredUncachedPercent)/100)
 	}
