--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -22,6 +22,7 @@
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqquarantine"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqguard"
 	"sequoiadock/io/sqhttp"
@@ -89,12 +90,18 @@
 	FencedReceivers bool
 	// BillingWindow is the length of a billing window.
 	BillingWindow time.Duration
-	Wire          sqcore.Wire
+	// Quota is how far all gateways together may exceed a team's quota.
+	Quota sqquota.Bounds
+	Wire  sqcore.Wire
 	// NewPlatform returns clients of the platform and of the engines. They use the HTTP
 	// client plain, and guarded for calls that need the lease of a term.
 	NewPlatform func(plain *http.Client, guarded func(term uint64) *http.Client) (sqcore.Platform, sqcore.Engines)
 	// OperatorHandler returns the HTTP handler for operators.
 	OperatorHandler func(d sqcore.Declarations) http.Handler
+	// MemoryBytes is the memory that the process may use, and MaxDescriptors how many
+	// descriptors it may have open. 0 stands for the defaults of sqhttp.GuardConfig.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// SeedUpdates delivers the new seeds when the settings change.
 	SeedUpdates <-chan []string
 	Log         *sqlog.Log
@@ -111,6 +118,8 @@
 	client       *http.Client
 	log          *sqlog.Log
 	metrics      *metrics.Set
+	// quotaGranted and quotaRefused count the answers to GrantQuota.
+	quotaGranted, quotaRefused *metrics.Counter
 
 	// seeds points to the seeds of the settings in force.
 	seeds atomic.Pointer[[]string]
@@ -121,6 +130,10 @@
 	// quarantineDecisions passes decisions to commitQuarantines.
 	quarantineDecisions chan sqquarantine.Decision
 
+	// parsingTable is held while a table of an operator is parsed, which takes many times
+	// its length in memory.
+	parsingTable sync.Mutex
+
 	// noWatchdogLogged makes the process log only once that the kernel has no timers.
 	noWatchdogLogged sync.Once
 
@@ -153,7 +166,7 @@
 	c.seeds.Store(&cfg.Seeds)
 	c.registerGauges()
 	c.platform, c.engines = cfg.NewPlatform(c.client, c.leaseGuardedClient)
-	transport := sqreplica.NewPeerTransport(sqreplica.TransportConfig{Log: cfg.Log})
+	transport := sqreplica.NewPeerTransport(sqreplica.TransportConfig{Log: cfg.Log, MaxQueuedBytes: maxQueuedBytes})
 	defer transport.Close()
 	var err error
 	c.replica, err = sqreplica.Open(sqreplica.Config{
@@ -165,11 +178,11 @@
 	if err != nil {
 		return err
 	}
-	internalListener, err := sqhttp.Listen(cfg.InternalAddress)
+	internalListener, err := sqhttp.ListenBuffered(cfg.InternalAddress, socketBuffers())
 	if err != nil {
 		return err
 	}
-	operatorListener, err := sqhttp.Listen(cfg.OperatorAddress)
+	operatorListener, err := sqhttp.ListenBuffered(cfg.OperatorAddress, socketBuffers())
 	if err != nil {
 		_ = internalListener.Close()
 		return err
@@ -182,10 +195,7 @@
 func (c *coordinator) serve(ctx context.Context, internalListener, operatorListener net.Listener) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	servers := []*http.Server{
-		{Handler: c.internalHandler(), ReadHeaderTimeout: headerTimeout},
-		{Handler: c.cfg.OperatorHandler(c), ReadHeaderTimeout: headerTimeout},
-	}
+	servers := c.newServers()
 	var wg sync.WaitGroup
 	for i, ln := range []net.Listener{internalListener, operatorListener} {
 		wg.Go(func() {
@@ -203,7 +213,7 @@
 		}
 	})
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){c.bootstrap, c.announce, c.updateMembers, c.pollEndpoints, c.reportUsage, c.manageCapacity, c.logLoads, c.updateSeeds, c.commitQuarantines} {
+	for _, loop := range []func(context.Context){c.bootstrap, c.announce, c.updateMembers, c.pollEndpoints, c.reportUsage, c.manageCapacity, c.logLoads, c.updateSeeds, c.commitQuarantines, c.loadQuotas} {
 		loops.Go(func() { loop(ctx) })
 	}
 	c.log.Event(sqevent.Started, roleName, c.cfg.Name, c.cfg.Zone, internalListener.Addr().String())
@@ -212,7 +222,7 @@
 	loops.Wait()
 	c.transferLeadership()
 	for _, s := range servers {
-		sqhttp.Shutdown(s, stopTimeout)
+		sqhttp.Shutdown(s.Server, stopTimeout)
 	}
 	stopReplica()
 	wg.Wait()
--- a/app/sqcoordinator/gateways.go
+++ b/app/sqcoordinator/gateways.go
@@ -7,7 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sequoiadock/core/sqdirectory"
 	"sequoiadock/core/sqevent"
+	"sequoiadock/core/sqspeed"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqrpc"
 )
@@ -41,12 +43,35 @@
 	number, includedBeat uint64
 	// demand is cumulative since the gateway started, by service.
 	demand map[string]*sqrpc.ServiceDemand
+	// utilization is how much of its VM the gateway uses.
+	utilization sqdirectory.Utilization
 }
 
 // inFlight is the work that is in flight at an endpoint.
 type inFlight struct {
 	running        uint32
 	uncachedTokens uint64
+	memoryTokens   uint64
+	bodyBytes      uint64
+}
+
+func (l *inFlight) add(other inFlight) {
+	l.running += other.running
+	l.uncachedTokens += other.uncachedTokens
+	l.memoryTokens += other.memoryTokens
+	l.bodyBytes += other.bodyBytes
+}
+
+func (l *inFlight) subtract(other inFlight) {
+	l.running -= other.running
+	l.uncachedTokens -= other.uncachedTokens
+	l.memoryTokens -= other.memoryTokens
+	l.bodyBytes -= other.bodyBytes
+}
+
+// fill sets the fields of the message about the endpoint.
+func (l *inFlight) fill(m *sqrpc.InFlight, id string) {
+	m.Id, m.Running, m.UncachedTokens, m.MemoryTokens, m.BodyBytes = id, l.running, l.uncachedTokens, l.memoryTokens, l.bodyBytes
 }
 
 // inFlightSum is the sum of what a number of gateways have in flight at an endpoint.
@@ -71,14 +96,19 @@
 	// directory has to be made anew before that is due.
 	checkedAt time.Time
 	changed   bool
+	// overloads says which gateways callers are not directed to for a while.
+	overloads *sqdirectory.Overloads
 	// loadSum is the encoded sum of the loads as of loadSumAt.
 	loadSum   []byte
 	loadSumAt time.Time
+	// speeds merges what endpoints reported of their speed to all gateways.
+	speeds *sqspeed.Merger
 }
 
 func newGatewayRegistry(log *sqlog.Log, term uint64) *gatewayRegistry {
 	return &gatewayRegistry{
 		log: log, byName: map[string]*gateway{}, inFlight: map[string]*inFlightSum{}, directoryRevision: term << counterBits, changed: true,
+		overloads: sqdirectory.NewOverloads(), speeds: sqspeed.NewMerger(),
 	}
 }
 
@@ -93,14 +123,17 @@
 		r.changed = true
 	}
 	gw.leaving, gw.lastBeatAt = req.GetLeaving(), now
-	gw.address = &sqrpc.GatewayAddress{Address: req.GetAddress(), Zone: req.GetZone(), Region: req.GetRegion()}
+	gw.address, gw.utilization = r.newAddress(req), toUtilization(req.GetUtilization())
 	gw.number = req.GetNumber()
 	r.uncount(gw)
 	gw.inFlight = make(map[string]inFlight, len(req.GetLoads()))
 	for _, l := range req.GetLoads() {
-		gw.inFlight[l.GetId()] = inFlight{running: l.GetRunning(), uncachedTokens: l.GetUncachedTokens()}
+		gw.inFlight[l.GetId()] = inFlight{
+			running: l.GetRunning(), uncachedTokens: l.GetUncachedTokens(), memoryTokens: l.GetMemoryTokens(), bodyBytes: l.GetBodyBytes(),
+		}
 	}
 	r.count(gw)
+	r.recordSpeeds(now, req)
 	previous := gw.demand
 	gw.demand = demand
 	return previous
@@ -132,8 +165,7 @@
 			r.inFlight[id] = sum
 		}
 		sum.gateways++
-		sum.running += l.running
-		sum.uncachedTokens += l.uncachedTokens
+		sum.add(l)
 	}
 }
 
@@ -146,8 +178,7 @@
 	for id, l := range gw.inFlight {
 		sum := r.inFlight[id]
 		sum.gateways--
-		sum.running -= l.running
-		sum.uncachedTokens -= l.uncachedTokens
+		sum.subtract(l)
 		if sum.gateways == 0 {
 			delete(r.inFlight, id)
 		}
@@ -161,19 +192,24 @@
 		return
 	}
 	r.checkedAt, r.changed = now, false
-	var directory []*sqrpc.GatewayAddress
+	var listed []string
 	for name, gw := range r.byName {
 		silence := now.Sub(gw.lastBeatAt)
 		if silence > gatewayListedTimeout {
 			r.uncount(gw)
 		} else if !gw.leaving {
-			directory = append(directory, gw.address)
+			listed = append(listed, name)
 		}
 		if silence > gatewayLostTimeout {
 			r.log.Event(sqevent.GatewayLost, name)
 			delete(r.byName, name)
 		}
 	}
+	r.updateOverloads(now, listed)
+	directory := make([]*sqrpc.GatewayAddress, 0, len(listed))
+	for _, name := range listed {
+		directory = append(directory, r.byName[name].address)
+	}
 	slices.SortFunc(directory, func(a, b *sqrpc.GatewayAddress) int { return strings.Compare(a.GetAddress(), b.GetAddress()) })
 	if !slices.EqualFunc(directory, r.directory, sameAddress) {
 		r.directory = directory
@@ -182,7 +218,8 @@
 }
 
 func sameAddress(a, b *sqrpc.GatewayAddress) bool {
-	return a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetRegion() == b.GetRegion()
+	return a.GetAddress() == b.GetAddress() && a.GetZone() == b.GetZone() && a.GetRegion() == b.GetRegion() &&
+		a.GetWeight() == b.GetWeight() && a.GetOverloaded() == b.GetOverloaded()
 }
 
 // encodedLoadSum returns the sum of the loads of all gateways, and the number of the
@@ -190,7 +227,7 @@
 // loadSumInterval, so that the cost of a heartbeat does not grow with the endpoints.
 func (r *gatewayRegistry) encodedLoadSum(now time.Time, name string) (encoded []byte, includedBeat uint64, err error) {
 	if r.loadSumAt.IsZero() || now.Sub(r.loadSumAt) >= loadSumInterval {
-		if r.loadSum, err = proto.Marshal(r.loadList()); err != nil {
+		if r.loadSum, err = proto.Marshal(r.loadList(now)); err != nil {
 			return nil, 0, err
 		}
 		r.loadSumAt = now
@@ -207,11 +244,19 @@
 	return r.loadSum, includedBeat, nil
 }
 
-func (r *gatewayRegistry) loadList() *sqrpc.InFlightList {
+// loadList returns the sums of the loads, and the speeds of the endpoints that report them.
+func (r *gatewayRegistry) loadList(now time.Time) *sqrpc.InFlightList {
 	list := &sqrpc.InFlightList{Loads: make([]*sqrpc.InFlight, 0, len(r.inFlight))}
+	messages := make([]sqrpc.InFlight, len(r.inFlight))
 	for id, sum := range r.inFlight {
-		list.Loads = append(list.Loads, &sqrpc.InFlight{Id: id, Running: sum.running, UncachedTokens: sum.uncachedTokens})
+		l := &messages[len(list.Loads)]
+		sum.fill(l, id)
+		if speed, ok := r.speeds.Speed(now, id); ok {
+			l.SetSpeed(speed)
+		}
+		list.Loads = append(list.Loads, l)
 	}
+	r.addIdleSpeeds(now, list)
 	return list
 }
 
@@ -229,7 +274,9 @@
 			continue
 		}
 		m := &messages[len(others)]
-		m.Id, m.Running, m.UncachedTokens = id, sum.running-l.running, sum.uncachedTokens-l.uncachedTokens
+		rest := sum.inFlight
+		rest.subtract(l)
+		rest.fill(m, id)
 		others = append(others, m)
 	}
 	return others
--- a/app/sqgateway/beats.go
+++ b/app/sqgateway/beats.go
@@ -1,6 +1,8 @@
 package sqgateway
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"sequoiadock/core/sqevent"
@@ -38,12 +40,15 @@
 		}
 		l.Running = max(0, l.Running-own.Running)
 		l.PrefillTokens = max(0, l.PrefillTokens-own.PrefillTokens)
+		l.MemoryTokens = max(0, l.MemoryTokens-own.MemoryTokens)
+		l.BodyBytes = max(0, l.BodyBytes-own.BodyBytes)
 		sum[id] = l
 	}
 }
 
-// peerLoads returns the loads of the other gateways. The caller must hold the gateway's mu.
-func (g *gateway) peerLoads(res *sqrpc.BeatResponse) map[string]sqplace.Load {
+// applyLoadSum records the speeds of endpoints and returns the loads of the other gateways.
+// The caller must hold the gateway's mu.
+func (g *gateway) applyLoadSum(receivedAt time.Time, res *sqrpc.BeatResponse) map[string]sqplace.Load {
 	if len(res.GetLoadSum()) == 0 {
 		return loadsByEndpoint(res.GetOthers())
 	}
@@ -52,6 +57,7 @@
 		g.log.Event(sqevent.BeatNotDecoded, "loads", err.Error())
 		return nil
 	}
+	g.placer.SetSpeeds(receivedAt, sqrpc.ToSpeeds(&sum))
 	loads := loadsByEndpoint(sum.GetLoads())
 	g.beats.subtract(loads, res.GetIncludedBeat())
 	return loads
@@ -60,7 +66,10 @@
 func loadsByEndpoint(inFlight []*sqrpc.InFlight) map[string]sqplace.Load {
 	loads := make(map[string]sqplace.Load, len(inFlight))
 	for _, load := range inFlight {
-		loads[load.GetId()] = sqplace.Load{Running: int(load.GetRunning()), PrefillTokens: int(load.GetUncachedTokens())}
+		loads[load.GetId()] = sqplace.Load{
+			Running: int(load.GetRunning()), PrefillTokens: int(load.GetUncachedTokens()),
+			MemoryTokens: int(load.GetMemoryTokens()), BodyBytes: int(load.GetBodyBytes()),
+		}
 	}
 	return loads
 }
--- a/app/sqgateway/exchange.go
+++ b/app/sqgateway/exchange.go
@@ -34,10 +34,12 @@
 	call := x.newCall(e, sqattempt.SendParams{CacheSource: cacheSource, ResumeAfter: x.resumeAfter()})
 	sentAt := sqclock.Now()
 	reply, err := x.g.pool.Do(x.ctx, call)
+	x.recordQuotaSent(err)
 	if err != nil {
 		return x.connectionFailure(err), false
 	}
 	defer reply.Close()
+	x.g.recordConnection(x.service, reply)
 	response := x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header())
 	x.g.recordReports(sentAt, e, reply, response)
 	switch {
--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -37,12 +37,16 @@
 	// crashes collects the reported crashes, limitReports what is reported of limits.
 	crashes      []*sqrpc.CrashReport
 	limitReports []*sqrpc.LimitReport
+	// speeds collects what is reported of the speed of endpoints.
+	speeds []*sqrpc.SpeedReport
 	// limits are the limits of the next responses. Their permits are issued once.
 	limits []*sqrpc.EndpointLimit
 	// probes counts the requests for one send after a quarantine. The first one is granted.
 	probes int
 	// origins holds where streams began, by attempt.
 	origins map[string]*sqrpc.StreamOrigin
+	// answerQuota answers calls for units of a quota. Without it, the call is not known.
+	answerQuota func(*sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error)
 }
 
 // Beat implements sqrpc.Coordinator.
@@ -55,6 +59,7 @@
 	h.lastRequest = req
 	h.heartbeats++
 	h.crashes = append(h.crashes, req.GetCrashes()...)
+	h.speeds = append(h.speeds, req.GetSpeeds()...)
 	h.limitReports = append(h.limitReports, req.GetLimitReports()...)
 	for _, r := range req.GetLimitReports() {
 		i := slices.IndexFunc(h.limits, func(l *sqrpc.EndpointLimit) bool { return l.GetEndpoint() == r.GetEndpoint() })
@@ -128,6 +133,6 @@
 }
 
 // GrantQuota implements sqrpc.Coordinator.
-func (h *fakeLeaseHolder) GrantQuota(context.Context, *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
-	return &sqrpc.GrantQuotaResponse{Granted: true}, nil
+func (h *fakeLeaseHolder) GrantQuota(_ context.Context, req *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
+	return h.answerQuota(req)
 }
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -19,11 +19,13 @@
 	"github.com/labstack/echo/v4"
 
 	sqcore "sequoiadock/core"
+	"sequoiadock/core/sqdirectory"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqfreshness"
 	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
+	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqretry"
 	"sequoiadock/core/sqwindow"
 	"sequoiadock/io/sqclock"
@@ -60,9 +62,6 @@
 	// was last known to be the newest, if a newer one is known. The rest covers requests
 	// that are being handled at the end.
 	supersededPercent = 80
-	// memoryLimitBytes is the size of the process above which the garbage collector does all
-	// it can, below the 128 MB of a small VM.
-	memoryLimitBytes = 96 << 20
 	// sweepInterval is the time between two calls of Pool.CloseIdle, which closes
 	// idle connections to endpoints.
 	sweepInterval = 500 * time.Millisecond
@@ -85,6 +84,8 @@
 	Retry sqretry.Config
 	// BillingWindow is the length of a billing window.
 	BillingWindow time.Duration
+	// Quota is how far all gateways together may exceed a team's quota.
+	Quota sqquota.Bounds
 	// StopGracePeriod is the maximum duration of a graceful shutdown.
 	StopGracePeriod time.Duration
 	// TableApplyTimeout is the time within which an acknowledged routing table is in force
@@ -93,11 +94,22 @@
 	// DrainTimeout is the time after which an endpoint that is listed as draining gets no
 	// more requests. 0 sets no bound.
 	DrainTimeout time.Duration
-	Wire         sqcore.Wire
+	// MemoryBytes is the memory that the process may use, and MaxDescriptors how many
+	// descriptors it may have open. 0 stands for the defaults of sqhttp.GuardConfig.
+	MemoryBytes    int64
+	MaxDescriptors int
+	// LimitedMemory is set if endpoints fail when the requests that they hold exceed their
+	// memory. MaxEndpointBodyBytes then bounds the bytes of request bodies that all gateways
+	// have in flight at one endpoint.
+	LimitedMemory        bool
+	MaxEndpointBodyBytes int
+	Wire                 sqcore.Wire
 	// DirectoryHandler returns the handler that tells callers the gateways'
 	// addresses. ReadyHandler returns the handler of the platform's readiness probe.
 	DirectoryHandler func(d sqcore.Directory) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
+	// VM holds the resources of the gateway's VM.
+	VM sqdirectory.VM
 	// SeedUpdates delivers the new seeds when the settings change.
 	SeedUpdates <-chan []string
 	Log         *sqlog.Log
@@ -113,6 +125,7 @@
 	locator           *sqlocate.Locator
 	coordinatorClient *http.Client
 	responseMemory    *sqmemory.Pool
+	guard             *sqhttp.Guard
 	// view is replaced with viewMu held; freshness says until when it may be used.
 	view             atomic.Pointer[view]
 	viewMu           sync.Mutex
@@ -123,6 +136,8 @@
 	// heartbeatSoon is true while a heartbeat is scheduled before the next one is due.
 	heartbeatSoon atomic.Bool
 	metrics       *gatewayMetrics
+	utilization   *utilization
+	quotas        *quotaGate
 	startedAt     time.Time
 	// firstViewReceived is closed once the lease holder has sent a routing table and
 	// a list of endpoints; firstViewOnce closes it only once.
@@ -149,8 +164,8 @@
 // Run runs a gateway until ctx ends and the graceful shutdown is complete. It
 // returns an error if an address cannot be listened on or a server fails.
 func Run(ctx context.Context, cfg Config) error {
-	debug.SetMemoryLimit(memoryLimitBytes)
 	g := newGateway(cfg)
+	debug.SetMemoryLimit(g.guard.GCLimit())
 	listeners, err := listenAll(cfg.CallerAddress, cfg.ReadinessAddress, cfg.DirectoryAddress, cfg.InternalAddress)
 	if err != nil {
 		return err
@@ -171,23 +186,30 @@
 		awaitedTables:     make(chan awaitedTable, 1),
 		coordinatorClient: sqhttp.NewClient(heartbeatTimeout),
 		beats:             newBeatLog(),
-		placer:            sqplace.New(sqplace.Config{Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:]), MaxListAge: cfg.DrainTimeout * listAgePercent / 100}),
-		retryBudget:       sqretry.New(sqclock.Now(), cfg.Retry),
-		billingCounter:    sqwindow.NewCounter(cfg.BillingWindow),
-		evidence:          sqquarantine.NewEvidence(sqclock.Now()),
-		demandByService:   map[string]*demand{},
-		origins:           sqorigin.NewLog(maxOrigins),
+		placer: sqplace.New(sqplace.Config{
+			Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:]), MaxListAge: cfg.DrainTimeout * listAgePercent / 100,
+			LimitedMemory: cfg.LimitedMemory, MaxEndpointBodyBytes: cfg.MaxEndpointBodyBytes,
+		}),
+		retryBudget:     sqretry.New(sqclock.Now(), cfg.Retry),
+		billingCounter:  sqwindow.NewCounter(cfg.BillingWindow),
+		evidence:        sqquarantine.NewEvidence(sqclock.Now()),
+		demandByService: map[string]*demand{},
+		origins:         sqorigin.NewLog(maxOrigins),
+		quotas:          newQuotaGate(cfg.Quota),
 	}
+	g.utilization = newUtilization(cfg.VM)
+	g.pool.CountTraffic(g.utilization.traffic)
 	g.startedAt = sqclock.Now()
 	g.view.Store(&view{lastHeardAt: g.startedAt})
 	g.metrics = newGatewayMetrics(g)
+	g.guard = sqhttp.NewGuard(sqhttp.GuardConfig{MemoryBytes: cfg.MemoryBytes, MaxDescriptors: cfg.MaxDescriptors, Metrics: g.metrics.set, Log: cfg.Log})
 	return g
 }
 
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, a := range addresses {
-		ln, err := sqhttp.Listen(a)
+		ln, err := sqhttp.ListenBuffered(a, socketBuffers())
 		if err != nil {
 			return nil, err
 		}
@@ -199,16 +221,8 @@
 // serve runs the servers and the background loops until ctx ends and the graceful
 // shutdown is complete, or until a server fails.
 func (g *gateway) serve(ctx context.Context, listeners []net.Listener) error {
-	callerServer := &http.Server{
-		Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
-	servers := []*http.Server{
-		callerServer,
-		{Handler: g.cfg.ReadyHandler(g.ready), ReadHeaderTimeout: headerTimeout},
-		{Handler: g.cfg.DirectoryHandler(g), ReadHeaderTimeout: headerTimeout},
-		{Handler: g.internalHandler(), ReadHeaderTimeout: headerTimeout},
-	}
+	servers := g.newServers()
+	callerServer := servers[0]
 	serveErrs := make(chan error, len(servers))
 	for i, ln := range listeners {
 		go func() { serveErrs <- servers[i].Serve(ln) }()
@@ -216,7 +230,7 @@
 	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){g.runHeartbeats, g.fetchTables, g.sweepConnections, g.applySeedUpdates} {
+	for _, loop := range []func(context.Context){g.runHeartbeats, g.fetchTables, g.sweepConnections, g.applySeedUpdates, g.utilization.measure} {
 		loops.Go(func() { loop(loopCtx) })
 	}
 	g.log.Event(sqevent.Started, roleName, g.cfg.Name, g.cfg.Zone, g.cfg.CallerAddress)
@@ -238,7 +252,7 @@
 // shutDown shuts the gateway down gracefully. It still serves new requests for as
 // long as callers may cache the gateway's address, and then waits until the
 // requests in flight end or the grace period is nearly over.
-func (g *gateway) shutDown(callerServer *http.Server) {
+func (g *gateway) shutDown(callerServer *sqhttp.Server) {
 	startedAt := sqclock.Now()
 	g.shuttingDown.Store(true)
 	g.triggerHeartbeat()
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -105,10 +105,12 @@
 	client := sqrpc.NewCoordinatorProtobufClient("http://"+address, g.coordinatorClient)
 	req, reports := g.heartbeatRequest(sentAt)
 	lastOrigin := g.addOrigins(req)
+	quotaReports := g.addQuotaReports(req)
 	res, err := client.Beat(ctx, req)
 	if err != nil {
 		return sqrpc.FromTwirp(err)
 	}
+	g.applyQuotas(sentAt, quotaReports, res)
 	g.applyLimits(sentAt, sqclock.Now(), reports, res)
 	g.applyResponse(sentAt, sqclock.Now(), res)
 	g.applyCacheUpdates(res)
@@ -123,7 +125,7 @@
 	req := &sqrpc.BeatRequest{
 		Gateway: g.cfg.Name, Run: g.runID, Zone: g.cfg.Zone, Region: g.cfg.Region, Address: g.cfg.CallerAddress,
 		Leaving: g.shuttingDown.Load(), FleetRevision: v.fleetRevision, WallUnixNano: sqclock.Wall().UnixNano(),
-		DirectoryRevision: v.directoryRevision, SuspectRevision: v.suspectRevision, FetchesTable: true, TakesDeltas: true,
+		DirectoryRevision: v.directoryRevision, SuspectRevision: v.suspectRevision, FetchesTable: true, TakesDeltas: true, Utilization: g.utilization.toProto(),
 	}
 	if v.table != nil {
 		req.TableVersion = v.table.Version()
@@ -138,7 +140,10 @@
 	own := g.placer.OwnLoads()
 	g.beats.record(req.Number, own)
 	for id, load := range own {
-		req.Loads = append(req.Loads, &sqrpc.InFlight{Id: id, Running: uint32(load.Running), UncachedTokens: uint64(load.PrefillTokens)})
+		req.Loads = append(req.Loads, &sqrpc.InFlight{
+			Id: id, Running: uint32(load.Running), UncachedTokens: uint64(load.PrefillTokens),
+			MemoryTokens: uint64(load.MemoryTokens), BodyBytes: uint64(load.BodyBytes),
+		})
 	}
 	for _, update := range g.placer.TakeCacheUpdates() {
 		g.unsentCacheUpdates = append(g.unsentCacheUpdates, &sqrpc.CacheUpdate{Endpoint: update.Endpoint,
@@ -147,6 +152,7 @@
 	g.unsentCacheUpdates = g.unsentCacheUpdates[max(0, len(g.unsentCacheUpdates)-maxUnsentCacheUpdates):]
 	req.CacheUpdates, req.LastCacheUpdate = g.unsentCacheUpdates, g.lastSeenCacheUpdate
 	req.LeavingEndpoints = g.placer.UnlistedDepartures()
+	g.addSpeeds(now, req)
 	reports := g.addLimits(now, req)
 	g.addEvidence(now, v, req)
 	for service, d := range g.demandByService {
@@ -167,5 +173,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.placer.ApplyCacheUpdates(sqclock.Now(), updates)
+	g.placer.Speeds().Acknowledge()
 	g.unsentCacheUpdates, g.lastSeenCacheUpdate = nil, res.GetLastCacheUpdate()
 }
--- a/app/sqgateway/prefill.go
+++ b/app/sqgateway/prefill.go
@@ -43,10 +43,12 @@
 func (x *request) requestPrefill(e *sqplace.Endpoint) (handle string, reached bool, err error) {
 	sentAt := sqclock.Now()
 	reply, err := x.g.pool.Do(x.ctx, x.newCall(e, sqattempt.SendParams{Prefill: true}))
+	x.recordQuotaSent(err)
 	if err != nil {
 		return "", x.connectionFailure(err).reached, err
 	}
 	defer reply.Close()
+	x.g.recordConnection(x.service, reply)
 	x.g.recordReports(sentAt, e, reply, x.g.cfg.Wire.ParseResponse(reply.Status(), reply.Header()))
 	body, err := io.ReadAll(io.LimitReader(reply, maxReadBytes+1))
 	if err != nil {
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sequoiadock/core/sqattempt"
+	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqtable"
@@ -31,6 +32,10 @@
 	// bodyTimeout is the maximum time to read a request body, if the deadline is not
 	// earlier.
 	bodyTimeout = 10 * time.Second
+	// drainTimeout is the maximum time to read the rest of the body of a refused request.
+	drainTimeout = 1 * time.Second
+	// memoryRetryAfter is the Retry-After time if there is no memory for a request.
+	memoryRetryAfter = 1 * time.Second
 )
 
 // request holds the state of one attempt of a caller while the gateway handles it.
@@ -69,7 +74,9 @@
 	// request and its prompt were last sent to. They are used in logs only.
 	lastEndpoint, lastPrefillEndpoint string
 	// lastVersion is the software version of the last endpoint.
-	lastVersion     string
+	lastVersion string
+	// waitedForRoom is how long the request has waited until an endpoint has room for it.
+	waitedForRoom   time.Duration
 	expectedLatency time.Duration
 	firstEventAt    time.Time
 	// sendFirstEventAt is when the first event of the last send came, or the zero time.
@@ -78,6 +85,10 @@
 	// memory is reserved for what is kept of responses.
 	memory *sqmemory.Reservation
 	stream *stream
+	// quotaUnits is what was charged to the quota of the team, and quotaSpent is set once a
+	// send may have reached an endpoint.
+	quotaUnits uint64
+	quotaSpent bool
 }
 
 // handle admits one request of a caller and sends it to endpoints.
@@ -85,8 +96,9 @@
 	g.metrics.running.Add(1)
 	defer g.metrics.running.Add(-1)
 	x := &request{g: g, w: w, r: r, receivedAt: sqclock.Now(), attempt: g.cfg.Wire.ParseAttempt(r.Header),
-		memory: g.responseMemory.NewReservation()}
+		memory: g.responseMemory.NewReservationOf(sqhttp.AccountOf(r))}
 	defer x.memory.Release()
+	defer x.giveBackQuota()
 	if !x.admit() {
 		return
 	}
@@ -198,13 +210,20 @@
 	rc := http.NewResponseController(x.w)
 	// If the connection does not support deadlines, the server's timeouts apply.
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, x.deadline.Sub(x.receivedAt))))
-	body, err := io.ReadAll(sqhttp.LimitBody(x.w, x.r.Body, bodyLimit))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
+	body, err := sqhttp.ReadBody(x.w, x.r, bodyLimit)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
 		x.body = body
 		return true
+	}
+	// The server reads on for a moment, so that the caller can read the response.
+	_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case sqerror.KindOf(err) == sqerror.Overloaded:
+		// The caller reads the response only once it has sent its body.
+		_, _ = io.Copy(io.Discard, sqhttp.LimitBody(x.w, x.r.Body, bodyLimit))
+		x.refuse(http.StatusServiceUnavailable, "no memory for the body", memoryRetryAfter)
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "the body is too long", 0)
 	default:
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -15,7 +15,7 @@
 // final response.
 func (x *request) dispatch() {
 	// No endpoints are ordered for requests that are not sent, so this comes first.
-	if x.refuseQuarantined(x.receivedAt) {
+	if x.refuseQuarantined(x.receivedAt) || !x.chargeQuota() {
 		return
 	}
 	x.g.mu.Lock()
@@ -32,6 +32,10 @@
 			return
 		}
 		choice := x.choose(now)
+		if choice.Wait > 0 {
+			x.awaitRoom(now, choice.Wait)
+			continue
+		}
 		if choice.Endpoint == nil {
 			if choice.StaleList {
 				x.g.metrics.staleListRefusals.Inc()
@@ -51,7 +55,11 @@
 func (x *request) choose(now time.Time) sqplace.Choice {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	x.g.updateConnections()
 	choice := x.g.placer.Choose(now, x.query(now))
+	if choice.Wait > 0 {
+		return choice
+	}
 	d := x.g.demandFor(x.service)
 	if choice.Endpoint == nil {
 		d.refused++
@@ -70,6 +78,7 @@
 func (x *request) chooseDecode(now time.Time, prefiller *sqplace.Endpoint) sqplace.Choice {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	x.g.updateConnections()
 	q := x.query(now)
 	q.SameVersion, q.Version = true, prefiller.Version()
 	return x.g.placer.ChooseDecode(now, q)
@@ -87,7 +96,9 @@
 	q := &sqplace.Query{
 		Service: x.service, Prompt: x.attempt.Prompt, Urgent: x.urgent, TimeLeft: x.firstEventTimeLeft(now),
 		Tried: x.triedEndpoints, NoRemotePrefill: x.noRemotePrefill || x.stream != nil,
+		BodyBytes: len(x.body), Waited: x.waitedForRoom,
 	}
+	x.countConnections(q)
 	if x.origin != nil {
 		q.SameVersion, q.Version = true, x.origin.Version
 	}
@@ -244,6 +255,9 @@
 		now.Sub(sentAt).Milliseconds(), res.reason, !x.sendFirstEventAt.IsZero(), x.attempt.Prompt.SharedParts(), x.content, e.Version())
 	if step == sqattempt.Resend {
 		x.g.metrics.resends.Inc()
+		if res.outcome == sqattempt.Broken || res.outcome == sqattempt.Failed {
+			x.chargeRetry()
+		}
 		return false
 	}
 	if step == sqattempt.PassOn && x.stream == nil {
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -52,11 +52,24 @@
 	lengths []int
 	// prefixCached is set if an engine is known to hold the longest shared prefix.
 	prefixCached bool
+	// leastWork is the work at an endpoint of usual speed that no cached prefix saves, by
+	// stage. It is set if the service reports speeds.
+	leastWork [stageCount]time.Duration
+	// spreadShare is the share of the random part of costs that is used, by how much the
+	// speeds of the endpoints differ: 1 if one is at least twice as fast as another.
+	spreadShare float64
+	// weighed is set if the expectedCached of each node was set for this request.
+	weighed bool
 }
 
 func newRequest(now time.Time, q *Query, s *pool) *request {
 	hashes, lengths := prefixHashes(&q.Prompt)
 	r := &request{Query: q, hashes: hashes, lengths: lengths}
+	r.setSpeeds(now, s)
+	if s.weighs() {
+		r.weighPrefixes(now, s)
+		return r
+	}
 	for _, n := range s.nodes {
 		if last := len(lengths) - 1; last >= 0 && n.available(now) && n.cache.cachedTokens(hashes, lengths) == lengths[last] {
 			r.prefixCached = true
@@ -65,9 +78,21 @@
 	return r
 }
 
+// preferred returns the node that is preferred for the request's prefix, or nil if that does
+// not matter, since an engine is known to hold the prefix.
+func (r *request) preferred(nodes []*node) *node {
+	if r.prefixCached {
+		return nil
+	}
+	return preferredNode(r.hashes, r.lengths, nodes)
+}
+
 // uncachedTokens returns how many prompt tokens the node has to prefill.
 func (r *request) uncachedTokens(n, preferred *node) int {
-	cached := n.cache.cachedTokens(r.hashes, r.lengths)
+	cached := n.expectedCached
+	if !r.weighed {
+		cached = n.cache.cachedTokens(r.hashes, r.lengths)
+	}
 	if last := len(r.lengths) - 1; n == preferred && !r.prefixCached && cached < r.lengths[last] {
 		cached = max(cached, r.lengths[last]*(100-preferredUncachedPercent)/100)
 	}
@@ -92,7 +117,7 @@
 	if excess <= 0 {
 		return 0
 	}
-	return s.meanDuration * time.Duration(excess) / time.Duration(n.slots())
+	return n.slowed(s.meanDuration * time.Duration(excess) / time.Duration(n.slots()))
 }
 
 // prefillWait returns how long a request waits for the prompts queued before it.
@@ -108,9 +133,9 @@
 // prompt itself; for a plain service, the time to the whole answer.
 func (s *pool) directLatency(now time.Time, r *request, n *node, uncached int) time.Duration {
 	if s.engine == nil {
-		return s.meanDuration + s.slotWait(now, n)
+		return n.slowed(s.meanDuration) + s.slotWait(now, n)
 	}
-	return firstTokenOverhead + s.slotWait(now, n) + s.prefillWait(r, n) + s.prefillTime(uncached, n.endpoint.cfg.Stage)
+	return s.slotWait(now, n) + n.slowed(firstTokenOverhead+s.prefillWait(r, n)+s.prefillTime(uncached, n.endpoint.cfg.Stage))
 }
 
 // transferTime returns the time to transfer the KV cache of a whole prompt.
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -81,7 +81,10 @@
 
 // ColdRemaining returns how much longer than now the endpoint is slow after its start.
 func (e *Endpoint) ColdRemaining(now time.Time) time.Duration {
-	return max(0, e.cfg.ColdUntil.Sub(now))
+	if !e.cfg.ColdUntil.After(now) {
+		return 0
+	}
+	return e.cfg.ColdUntil.Sub(now)
 }
 
 // coldTolerance is how much two statements of the time until which an endpoint is slow may
@@ -129,6 +132,9 @@
 	// PrefillTokens counts the uncached prompt tokens of requests that have
 	// no first token yet.
 	PrefillTokens int
+	// MemoryTokens counts the tokens of KV cache that the requests occupy, BodyBytes the
+	// bytes of their bodies. Both are 0 where endpoints' memory is not considered.
+	MemoryTokens, BodyBytes int
 }
 
 // Query is a request that needs an endpoint.
@@ -149,6 +155,15 @@
 	// one of that version has begun to work on it.
 	SameVersion bool
 	Version     string
+	// CountConnections is set if endpoints to which the gateway has an idle connection are
+	// preferred among equal ones, MaxIdle limits how long it may have been idle. 0 sets no
+	// bound.
+	CountConnections bool
+	MaxIdle          time.Duration
+	// BodyBytes is the size of the request's body, Waited how long the request has waited for
+	// room at an endpoint.
+	BodyBytes int
+	Waited    time.Duration
 }
 
 // allows reports whether the version of the endpoint may get the request.
@@ -180,6 +195,11 @@
 	// StaleList is set if endpoints are left, but the list of endpoints is too old to tell
 	// which are draining.
 	StaleList bool
+	// Wait is set if no endpoint has room for the request yet but one is expected to in time.
+	// It is the time after which to choose again.
+	Wait time.Duration
+	// roomWait is the time until the chosen endpoint has room for the request.
+	roomWait time.Duration
 }
 
 // Config configures a Placer.
@@ -191,6 +211,12 @@
 	// MaxListAge is how old a list of endpoints may be when the lease holder sends it. 0 sets
 	// no bound.
 	MaxListAge time.Duration
+	// LimitedMemory is set if endpoints fail when the requests that they hold exceed their
+	// memory.
+	LimitedMemory bool
+	// MaxEndpointBodyBytes bounds the bytes of the request bodies that all gateways have in
+	// flight at one endpoint with LimitedMemory. 0 sets no bound.
+	MaxEndpointBodyBytes int
 }
 
 // Placer holds one gateway's state of all endpoints and chooses among them. It is
@@ -211,17 +237,30 @@
 	refusals map[string]time.Time
 	// list is the age of the list of endpoints.
 	list *listAge
+	// speeds is what is known of the speeds of all endpoints together.
+	speeds *speedState
+	// gateways is the number of gateways, at least 1.
+	gateways int
 }
 
 // pool holds the endpoints of a service and the latencies observed at them.
 type pool struct {
 	nodes  []*node
 	engine *sqtable.Engine
-	// meanDuration is the moving average of the duration of a request.
-	meanDuration time.Duration
+	// meanDuration is the moving average of the duration of a request, connectTime that of
+	// the time to open a connection.
+	meanDuration, connectTime time.Duration
 	// latencyRatio corrects the estimated prefill times, by stage. It is the moving
 	// average of the observed over the uncorrected time to the first token.
 	latencyRatio [stageCount]float64
+	speeds       *speedState
+	// reportsSpeed is set once an endpoint of the service has reported its speed.
+	reportsSpeed bool
+	// limitedMemory is that of the Config. residency and occupancy are used if it is set, or
+	// if endpoints report their speed.
+	limitedMemory bool
+	residency     residencyModel
+	occupancy     occupancy
 }
 
 // New returns a placer without endpoints.
@@ -229,6 +268,7 @@
 	return &Placer{
 		cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
 		limits: sqlimit.NewKeeper(), refusals: map[string]time.Time{}, list: &listAge{limit: cfg.MaxListAge},
+		speeds: newSpeedState(), gateways: 1,
 	}
 }
 
@@ -264,7 +304,7 @@
 // endpoint.
 func (p *Placer) SetPeerLoads(loads map[string]Load) {
 	for id, n := range p.nodes {
-		n.remote = loads[id]
+		n.remote, n.localAtSum = loads[id], n.local
 	}
 }
 
@@ -282,7 +322,10 @@
 func (p *Placer) pool(service string) *pool {
 	s := p.services[service]
 	if s == nil {
-		s = &pool{meanDuration: initialDuration, latencyRatio: [stageCount]float64{1, 1, 1}}
+		s = &pool{
+			meanDuration: initialDuration, connectTime: initialConnectTime, latencyRatio: [stageCount]float64{1, 1, 1}, speeds: p.speeds,
+			limitedMemory: p.cfg.LimitedMemory, residency: newResidencyModel(), occupancy: newOccupancy(),
+		}
 		p.services[service] = s
 	}
 	return s
--- a/io/sqlink/sqlink.go
+++ b/io/sqlink/sqlink.go
@@ -17,6 +17,8 @@
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqhttp"
+	"sequoiadock/io/sqmeter"
 )
 
 const (
@@ -37,6 +39,11 @@
 	defaultIdleTimeout = 400 * time.Millisecond
 	// maxIdleTimeout limits how long any idle connection is kept.
 	maxIdleTimeout = 10 * time.Second
+	// receiveBufferBytes and sendBufferBytes are the sizes of the kernel's buffers of a
+	// connection, so that an endpoint that does not read, or whose response is not read, takes
+	// little memory.
+	receiveBufferBytes = 32 << 10
+	sendBufferBytes    = 96 << 10
 )
 
 // Owner says to which request a response belongs.
@@ -79,10 +86,14 @@
 
 // Pool holds the connections to endpoints. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer  net.Dialer
+	traffic *sqmeter.Traffic
 
 	mu         sync.Mutex
 	byEndpoint map[string]*endpointConns
+	// idleChanged holds the endpoints whose most recently used idle connection has changed
+	// since TakeIdleChanges was last called.
+	idleChanged map[string]struct{}
 }
 
 // endpointConns holds the idle connections to one endpoint and the number of all
@@ -95,9 +106,11 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		byEndpoint: map[string]*endpointConns{},
+		byEndpoint:  map[string]*endpointConns{},
+		idleChanged: map[string]struct{}{},
 		dialer: net.Dialer{
 			Timeout: connectTimeout,
+			Control: sqhttp.SocketBuffers{Receive: receiveBufferBytes, Send: sendBufferBytes}.Control,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 			},
@@ -105,6 +118,10 @@
 	}
 }
 
+// CountTraffic makes the pool count the bytes of its connections. It must be called before
+// the first call.
+func (p *Pool) CountTraffic(t *sqmeter.Traffic) { p.traffic = t }
+
 // Do sends a call and returns its response once the headers are read. The caller
 // must close the response. The kind of an error is Unreachable with execution NotRun
 // if nothing was sent, Overloaded if all connections are in use or Allowed returned false, BadResponse if the
@@ -164,6 +181,7 @@
 	if n := len(conns.idle); n > 0 {
 		c := conns.idle[n-1]
 		conns.idle = conns.idle[:n-1]
+		p.idleChanged[call.Endpoint] = struct{}{}
 		return c, nil
 	}
 	if call.MaxConnections > 0 && conns.open >= call.MaxConnections {
@@ -178,6 +196,7 @@
 func newEndpointConns() *endpointConns { return &endpointConns{} }
 
 func (p *Pool) dial(ctx context.Context, call *Call) (*conn, error) {
+	startedAt := sqclock.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", call.Address)
 	if err != nil {
 		p.releaseSlot(call.Endpoint)
@@ -191,7 +210,9 @@
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
 		})
 	}
-	return newConn(nc), nil
+	c := newConn(nc, p.traffic)
+	c.connectTime = sqclock.Now().Sub(startedAt)
+	return c, nil
 }
 
 // Refuses reports whether no process listens at the address. It opens a connection
@@ -228,6 +249,7 @@
 	defer p.mu.Unlock()
 	conns := p.byEndpoint[endpoint]
 	conns.idle = append(conns.idle, c)
+	p.idleChanged[endpoint] = struct{}{}
 }
 
 // CloseIdle closes the connections whose idle timeout has passed at now, and all idle
@@ -243,6 +265,7 @@
 				continue
 			}
 			expired = append(expired, c)
+			p.idleChanged[endpoint] = struct{}{}
 			conns.open--
 		}
 		conns.idle = kept
