--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -93,6 +93,9 @@
 	// Quota is how far all gateways together may exceed a team's quota.
 	Quota sqquota.Bounds
 	Wire  sqcore.Wire
+	// LimitedMemory is set if endpoints fail when the requests that they hold exceed their
+	// memory.
+	LimitedMemory bool
 	// NewPlatform returns clients of the platform and of the engines. They use the HTTP
 	// client plain, and guarded for calls that need the lease of a term.
 	NewPlatform func(plain *http.Client, guarded func(term uint64) *http.Client) (sqcore.Platform, sqcore.Engines)
--- a/app/sqcoordinator/orders.go
+++ b/app/sqcoordinator/orders.go
@@ -116,6 +116,7 @@
 		v := serviceView(s, t)
 		v.InitialEndpoints = c.committedInitialEndpoints(s.Name())
 		v.WorkFactors = t.workFactors(now, v.Endpoints)
+		v.ReplacesReclaimed = c.cfg.LimitedMemory || len(v.WorkFactors) > 0
 		t.orders.planner.Observe(now, v)
 		orders = append(orders, t.orders.planner.Orders(now, v)...)
 		stageChanges = append(stageChanges, t.orders.planner.StageChanges(now, v)...)
--- a/app/sqprocess/members.go
+++ b/app/sqprocess/members.go
@@ -40,6 +40,7 @@
 		Name: n.Name(), Zone: n.Zone(), InternalAddress: n.InternalAddress(), OperatorAddress: settings.OperatorAddress(), DataFolder: settings.DataFolder(),
 		Seeds: settings.Cluster().Seeds(), FirstStart: settings.FirstStart(), TargetVoters: settings.Cluster().Voters(),
 		FreshnessLease: b.RevocationTimeout() * freshnessLeasePercent / 100, TakeoverDelay: b.TakeoverDelay(), FencedReceivers: b.FencedReceivers(), BillingWindow: b.BillingWindow(), Quota: quotaBounds(b), Wire: sqadapter.Wire{},
+		LimitedMemory: sqadapter.LimitsMemory(n.Contracts()),
 		NewPlatform: func(plain *http.Client, guarded func(term uint64) *http.Client) (sqcore.Platform, sqcore.Engines) {
 			client := sqadapter.NewClient(sqadapter.ClientConfig{Address: settings.PlatformAddress(), ReadClient: plain, LeaseClient: guarded, Wall: sqclock.Wall, Now: sqclock.Now})
 			return client, client
--- a/core/sqcapacity/reclaim.go
+++ b/core/sqcapacity/reclaim.go
@@ -42,9 +42,9 @@
 }
 
 // standIns returns how many on-demand endpoints each zone that has lost its spot
-// endpoints runs in their place, by zone. Once a zone is lost, another one may be lost within the time in
-// which an endpoint starts. So there are as many that the service keeps its initial number
-// of endpoints even if the zone with the most spot endpoints is lost next.
+// endpoints runs in their place, by zone. Once a zone is lost, another one may be lost
+// sooner than an endpoint starts. So there are as many that the service keeps its initial
+// number of endpoints even if the zone with the most spot endpoints is lost next.
 func (s *serviceState) standIns(now time.Time, svc *Service, zones []string) map[string]int {
 	var lost []string
 	remaining, most := 0, 0
@@ -52,11 +52,13 @@
 		spots := s.spotsOf(zone)
 		listed := countEndpoints(svc.Endpoints, zone).spot
 		spots.observe(now, listed, s.lastOrders[orderKey{zone, true}].count)
-		remaining += listed + svc.Scaling.MinPerZone
+		remaining += svc.Scaling.MinPerZone
 		if spots.lost {
+			// Those that are left are about to go, and new ones have empty caches.
 			lost = append(lost, zone)
 			continue
 		}
+		remaining += listed
 		most = max(most, listed)
 	}
 	if len(lost) == 0 {
@@ -68,7 +70,8 @@
 	missing := max(0, s.initialEndpoints-remaining)
 	standIns := make(map[string]int, len(lost))
 	for _, zone := range lost {
-		standIns[zone] = (missing + len(lost) - 1) / len(lost)
+		room := svc.Scaling.MaxPerZone - svc.Scaling.MinPerZone - countEndpoints(svc.Endpoints, zone).spot
+		standIns[zone] = max(0, min((missing+len(lost)-1)/len(lost), room))
 	}
 	return standIns
 }
