Test of a refused body whose buffer stays reserved

Gateways read the rest of the body for up to 1 s first, and the account cannot be evicted meanwhile.

--- /dev/null
+++ b/io/sqhttp/release_test.go
@@ -0,0 +1,28 @@
+package sqhttp
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiadock/core/sqerror"
+)
+
+// TestRefusedBodyIsReleased fails if the buffer of a body that does not fit stays reserved
+// while the handler reads the rest of the body and answers.
+func TestRefusedBodyIsReleased(t *testing.T) {
+	var g *testGuard
+	held := make(chan int64, 1)
+	g = newTestGuard(t, 128<<20, ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// What is left of the connection's share is enough for the first buffers only.
+		AccountOf(r).Reserve(AccountOf(r).Share() - requestBytes - 2<<20)
+		before := g.guard.Budget().UsedBytes()
+		_, err := ReadBody(w, r, testBodyLimit)
+		assert.Check(t, sqerror.KindOf(err) == sqerror.Overloaded, "%v", err)
+		held <- g.guard.Budget().UsedBytes() - before
+	})})
+	_, _ = g.post(t, strings.NewReader(strings.Repeat("x", testBodyLimit)))
+	assert.Equal(t, <-held, int64(0))
+}
