Bodies that are refused release their buffer at once

Cause: ReadBody released its buffer with the request only. A gateway that had no memory for a body kept what it had read of it reserved for up to 1 s, while it read the rest. Now an error releases the buffer.

--- a/io/sqhttp/body.go
+++ b/io/sqhttp/body.go
@@ -28,9 +28,9 @@
 }
 
 // ReadBody reads the whole body of a request into memory, which is reserved first and
-// released when the request ends. Its errors are *http.MaxBytesError after limit bytes, one
+// released when the request ends, or with an error. Its errors are *http.MaxBytesError after limit bytes, one
 // of kind Overloaded if there is no memory, and those of the connection.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (content []byte, err error) {
 	account := AccountOf(r)
 	if share := account.Share(); share > 0 {
 		limit = min(limit, share*sharePercent/100)
@@ -50,6 +50,11 @@
 		end = limit + 1
 	}
 	var buf []byte
+	defer func() {
+		if err != nil {
+			account.Release(int64(cap(buf)))
+		}
+	}()
 	for size := firstBodyBytes(announced); ; size = min(nextBodyBytes(size), end) {
 		if !account.Reserve(size) {
 			refuseBody(r)
@@ -59,13 +64,13 @@
 		copy(grown, buf)
 		account.Release(int64(cap(buf)))
 		buf = grown
-		n, err := readFull(body, buf[len(buf):cap(buf)])
+		n, readErr := readFull(body, buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(readErr, io.EOF):
 			return buf, nil
-		case err != nil:
-			return nil, err
+		case readErr != nil:
+			return nil, readErr
 		case int64(len(buf)) == announced:
 			return buf, nil
 		}
--- a/io/sqmemory/budget_test.go
+++ b/io/sqmemory/budget_test.go
@@ -119,3 +119,22 @@
 		a.SetServing(false)
 	}
 }
+
+// TestServedAccountIsNotInterrupted fails if a request is ended whose body arrived while
+// others were evicted before it: it may run.
+func TestServedAccountIsNotInterrupted(t *testing.T) {
+	now := sqclock.Now()
+	b := NewBudget(BudgetConfig{Limit: 80 << 20})
+	first, second := openAccount(b, now.Add(-3*minStall)), openAccount(b, now.Add(-2*minStall))
+	for _, a := range []*testAccount{first, second} {
+		a.account.SetServing(true)
+		a.account.SetReceiving(true)
+		assert.Assert(t, a.account.Reserve(35<<20))
+	}
+	interrupt := first.account.cfg.Interrupt
+	first.account.cfg.Interrupt = func() { second.account.SetReceiving(false); interrupt() }
+	newcomer := openAccount(b, now)
+	assert.Assert(t, !newcomer.account.Reserve(40<<20))
+	assert.Equal(t, first.interrupted.Load(), int64(1))
+	assert.Equal(t, second.interrupted.Load(), int64(0))
+}
