Connections are not evicted at the end of a long response

Cause: the account counted as stalled since the request had arrived once the handler had returned, so that a connection over the limit closed it before the rest of the response was written, and before connections that had been idle for less time. The end of a response now counts as progress. TestEndOfResponseIsProgress passes; go test ./io/sqhttp passes.

--- a/io/sqhttp/conn.go
+++ b/io/sqhttp/conn.go
@@ -212,6 +212,9 @@
 	c.account.SetServing(true)
 	defer func() {
 		c.releaseAll()
+		// The end of the response is still to be written, so the connection must not be
+		// evicted at once.
+		c.account.RecordProgress(sqclock.Now())
 		c.account.SetServing(false)
 	}()
 	if h.server.cfg.BodyCost > 0 && r.ContentLength != 0 {
