Evictions check again that a request has not begun to run

Cause: victims are chosen under the lock and evicted after it, one after another, each with a log line. A body that was completed meanwhile had its request cancelled by the expired read deadline, although it ran.

--- a/io/sqmemory/evict.go
+++ b/io/sqmemory/evict.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"sequoiadock/io/sqclock"
 )
 
 // victim is an account that is to be evicted.
@@ -12,9 +14,13 @@
 	closes bool
 }
 
-// evict ends the owners of accounts. It must be called without mu.
+// evict ends the owners of accounts that are still evictable. It must be called without mu.
 func evict(victims []victim) {
 	for _, v := range victims {
+		// The request may have arrived and begun to run while others were evicted.
+		if !v.account.evictable(sqclock.Now()) {
+			continue
+		}
 		if v.closes {
 			v.account.cfg.Close()
 			continue
