Test of waiting requests whose sum exceeds what the holder grants

The test fails: while a gateway does not know a lowered quota yet, it asks for more at once than the holder grants to any request, and all of the batch are refused with 429 without a Retry-After, although each is below the quota.

--- a/app/sqgateway/quota_test.go
+++ b/app/sqgateway/quota_test.go
@@ -139,6 +139,24 @@
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 }
 
+// TestSumLargerThanAnyRequest fails if requests are refused because the holder, which knows a
+// lower quota than the gateway, grants no request as large as their sum.
+func TestSumLargerThanAnyRequest(t *testing.T) {
+	e := newFakeEndpoint(t, signedHandler("read"))
+	s := newQuotaSystem(t, func(req *sqrpc.GrantQuotaRequest) (*sqrpc.GrantQuotaResponse, error) {
+		time.Sleep(20 * time.Millisecond)
+		return &sqrpc.GrantQuotaResponse{Granted: req.GetUnits() <= 1000, Term: 2}, nil
+	}, e.fleetEntry("i1", "ledger", sqplace.AnyStage))
+	var callers sync.WaitGroup
+	for range 5 {
+		callers.Go(func() {
+			res, _, _ := s.call(t, http.MethodGet, "/read/x", "", "X-Tokens", "1000")
+			assert.Check(t, res.StatusCode == http.StatusOK, "status %d", res.StatusCode)
+		})
+	}
+	callers.Wait()
+}
+
 // TestHolderWithoutQuotas fails if a gateway serves nothing while the holder still runs an earlier
 // version, which does not know the call.
 func TestHolderWithoutQuotas(t *testing.T) {
