Requests whose sum is refused for good are asked for on their own

Cause: a refusal without a time means that no request of that size is granted; a gateway applied it to each request of the batch. Now the first one is asked for alone. TestSumLargerThanAnyRequest passes; go test ./core/sqquota and the quota tests of ./app/sqgateway pass.

--- a/core/sqquota/account.go
+++ b/core/sqquota/account.go
@@ -196,12 +196,16 @@
 }
 
 // Fitting returns how many of the waiting requests, in order, the bucket held enough for when
-// the holder refused the sum of them.
+// the holder refused the sum of them. If no request as large as the sum is ever granted, which
+// happens if the holder knows a lower quota, the first one is asked for on its own.
 func (a *Account) Fitting(team string, waiting []uint64, retryAfter time.Duration) int {
 	t := a.teams[team]
-	if t == nil || retryAfter <= 0 {
+	if t == nil || len(waiting) <= 1 {
 		return 0
 	}
+	if retryAfter <= 0 {
+		return 1
+	}
 	var sum float64
 	for _, units := range waiting {
 		sum += float64(units)
