Units of a quota expire also while a request waits for room

Cause: the time limit of a grant was compared only when the request stopped waiting for the holder, so requests that waited for room at an endpoint spent their units seconds later. TestUnitsExpireWhileWaitingForRoom passes, as do the other tests of quotas and room in ./app/sqgateway.

--- a/app/sqgateway/quota.go
+++ b/app/sqgateway/quota.go
@@ -133,7 +133,7 @@
 	}
 	switch a.verdict {
 	case sqquota.Charged:
-		x.quotaUnits = units
+		x.quotaUnits, x.quotaAskedAt = units, a.askedAt
 		return true
 	case sqquota.Over:
 		g.metrics.quotaRefused.Inc()
@@ -147,6 +147,20 @@
 	return false
 }
 
+// quotaExpired reports whether the request has waited, for an endpoint with room or for
+// connections that failed, until its units may not be spent any more.
+func (x *request) quotaExpired(now time.Time) bool {
+	return x.quotaUnits > 0 && !x.quotaSpent && !sqquota.MaySpend(x.quotaAskedAt, now)
+}
+
+// renewQuota gives the units of a request back and charges it again. It returns false if the
+// request was refused.
+func (x *request) renewQuota() bool {
+	x.giveBackQuota()
+	x.quotaUnits = 0
+	return x.chargeQuota()
+}
+
 // recordQuotaSent records whether a send has reached an endpoint, so that its units are spent.
 func (x *request) recordQuotaSent(err error) {
 	if err == nil || x.connectionFailure(err).outcome != sqattempt.Unsent {
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -85,10 +85,11 @@
 	// memory is reserved for what is kept of responses.
 	memory *sqmemory.Reservation
 	stream *stream
-	// quotaUnits is what was charged to the quota of the team, and quotaSpent is set once a
-	// send may have reached an endpoint.
-	quotaUnits uint64
-	quotaSpent bool
+	// quotaUnits is what was charged to the quota of the team, quotaAskedAt when, and
+	// quotaSpent is set once a send may have reached an endpoint.
+	quotaUnits   uint64
+	quotaAskedAt time.Time
+	quotaSpent   bool
 }
 
 // handle admits one request of a caller and sends it to endpoints.
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -44,6 +44,13 @@
 			x.finishUnanswered(x.stepWithoutEndpoint(now), choice.Reason, choice.RetryAfter)
 			return
 		}
+		if x.quotaExpired(now) {
+			if !x.renewQuota() {
+				return
+			}
+			// The room that was chosen may be taken meanwhile.
+			continue
+		}
 		if x.sendOnce(choice) {
 			return
 		}
