--- a/core/sqquota/sqquota_test.go
+++ b/core/sqquota/sqquota_test.go
@@ -124,6 +124,8 @@
 	assert.Equal(t, retryAfter, 200*time.Millisecond, "8,000 are there after 0.2 s, and the holder is asked again then")
 	_, retryAfter = a.Charge(at(0.1), "t", 10_000)
 	assert.Equal(t, retryAfter, 300*time.Millisecond)
+	_, retryAfter = a.Charge(at(0.1), "t", 1_000_000)
+	assert.Equal(t, retryAfter, time.Duration(0), "larger than any that is granted")
 	verdict, _ = a.Charge(at(0.3), "t", 8000)
 	assert.Equal(t, verdict, Ask)
 	assert.Assert(t, MaySpend(at(0), at(0.49)) && !MaySpend(at(0), at(0.5)))
@@ -144,3 +146,15 @@
 	a.SetGateways(at(5.1), 60)
 	assert.Equal(t, size(), int64(0), "nothing was heard for 4 s")
 }
+
+// TestQuotaThatComesBack fails if a gateway counts returned units from 0 again when a quota is
+// removed and declared again: the holder would take them for units that it has credited.
+func TestQuotaThatComesBack(t *testing.T) {
+	a, quotas := NewAccount(modelBounds), map[string]Quota{"t": {RatePerS: 1000, Burst: 1000}}
+	a.SetQuotas(quotas)
+	a.GiveBack("t", 500)
+	a.SetQuotas(nil)
+	a.SetQuotas(quotas)
+	a.GiveBack("t", 200)
+	assert.DeepEqual(t, a.Reports(), []Report{{Team: "t", Returned: 700}})
+}
