Quotas: counts of returned units go on when a quota is removed and declared again

Cause: the count was part of the team's account, which ends with its quota, while the holder keeps the highest count that it has heard. It is now kept for teams that had a quota before. A request that is larger than any that is granted gets no Retry-After, whether the holder was asked for it or refused another one just before.

--- a/core/sqquota/account.go
+++ b/core/sqquota/account.go
@@ -1,7 +1,6 @@
 package sqquota
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -25,6 +24,8 @@
 	bounds   Bounds
 	gateways int
 	teams    map[string]*teamAccount
+	// returnedBefore holds the units that teams without a quota gave back while they had one.
+	returnedBefore map[string]uint64
 	// heardAt is when the last answered heartbeat was sent, term that of the holder that
 	// answered it, and termAt when its first answer came.
 	heardAt time.Time
@@ -51,19 +52,24 @@
 }
 
 // NewAccount returns an account without quotas.
-func NewAccount(b Bounds) *Account { return &Account{bounds: b, teams: map[string]*teamAccount{}} }
+func NewAccount(b Bounds) *Account {
+	return &Account{bounds: b, teams: map[string]*teamAccount{}, returnedBefore: map[string]uint64{}}
+}
 
 // SetQuotas replaces the quotas of all teams.
 func (a *Account) SetQuotas(quotas map[string]Quota) {
-	maps.DeleteFunc(a.teams, func(team string, _ *teamAccount) bool {
-		_, ok := quotas[team]
-		return !ok
-	})
+	for team, t := range a.teams {
+		if _, ok := quotas[team]; !ok {
+			a.returnedBefore[team] = t.returned
+			delete(a.teams, team)
+		}
+	}
 	for team, q := range quotas {
 		t := a.teams[team]
 		if t == nil {
-			t = &teamAccount{}
+			t = &teamAccount{returned: a.returnedBefore[team]}
 			a.teams[team] = t
+			delete(a.returnedBefore, team)
 		}
 		t.quota = q
 		a.resize(t)
@@ -110,7 +116,7 @@
 		return Charged, 0
 	}
 	if now.Before(t.refusedUntil) {
-		return Over, t.retryAfter(now, units)
+		return Over, a.RetryAfter(now, team, units)
 	}
 	return Ask, 0
 }
