--- a/io/sqmemory/budget_test.go
+++ b/io/sqmemory/budget_test.go
@@ -138,3 +138,23 @@
 	assert.Equal(t, first.interrupted.Load(), int64(1))
 	assert.Equal(t, second.interrupted.Load(), int64(0))
 }
+
+// TestInterruptIsForOneRequest fails if a caller gets no answer, because an earlier request of
+// its connection was to be ended.
+func TestInterruptIsForOneRequest(t *testing.T) {
+	now := sqclock.Now()
+	b := NewBudget(BudgetConfig{Limit: 80 << 20})
+	a, newcomer := openAccount(b, now.Add(-9*minStall)), openAccount(b, now)
+	for range 2 {
+		assert.Assert(t, a.account.Reserve(40<<20))
+		assert.Assert(t, newcomer.account.Reserve(35<<20))
+		newcomer.account.ReleaseAll()
+		b.mu.Lock()
+		if !a.account.interruptedAt.IsZero() {
+			a.account.interruptedAt = now.Add(-closeDelay)
+		}
+		b.mu.Unlock()
+	}
+	assert.Equal(t, a.interrupted.Load(), int64(2))
+	assert.Equal(t, a.closed.Load(), int64(0))
+}
