Interrupted accounts are as before once their request has ended

Cause: the time of an interrupt stayed with the connection, and the next one was closed at once in place of getting a 408. TestInterruptIsForOneRequest passes; go test ./io/sqmemory ./io/sqhttp passes.

--- a/io/sqmemory/budget.go
+++ b/io/sqmemory/budget.go
@@ -79,8 +79,9 @@
 	serving, receiving atomic.Bool
 
 	// The budget's mutex guards the fields below.
-	bytes         int64
-	closed        bool
+	bytes  int64
+	closed bool
+	// interruptedAt is when the request that is being received was told to end.
 	interruptedAt time.Time
 }
 
@@ -136,11 +137,12 @@
 	a.budget.release(a, min(n, a.bytes))
 }
 
-// ReleaseAll returns all bytes of the account to the budget.
+// ReleaseAll returns all bytes of the account to the budget at the end of a request.
 func (a *Account) ReleaseAll() {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	a.budget.release(a, a.bytes)
+	a.interruptedAt = time.Time{}
 }
 
 // release must be called with mu held.
