Quotas and memory budget: names, package comments, notes

sharePercent of bodies is maxBodyPercent, as ServerConfig.SharePercent is another one. Issuer.Has, which nothing used, is removed. The package comments of sqhttp and sqmemory say which part reserves what. No behaviour changes; go test ./io/sqhttp ./io/sqmemory ./core/sqquota passes.

--- a/app/sqgateway/quota.go
+++ b/app/sqgateway/quota.go
@@ -42,6 +42,7 @@
 }
 
 // quotaQueue holds the requests of a team that wait for the lease holder's answer, in order.
+// The first one starts a goroutine, which asks until none waits. The gate's mu guards it.
 type quotaQueue struct {
 	waiters []*quotaWaiter
 	// limit is how many requests the next call is for at most, 0 for any number.
@@ -56,7 +57,8 @@
 type quotaWaiter struct {
 	units  uint64
 	answer chan quotaAnswer
-	// left is set once the request no longer waits, answered once its answer was passed on.
+	// left is set if the request stopped waiting while the holder was asked for it: the units
+	// go back then. answered is set once its answer was passed on.
 	left, answered bool
 }
 
@@ -214,9 +216,9 @@
 
 // logQuotaExceeded logs that a team is over its quota, unless that was logged a short time ago.
 // The caller must hold the gate's mu.
-func (g *gateway) logQuotaExceeded(now time.Time, team string, w *quotaQueue, units uint64, retryAfter time.Duration) {
-	if w.exceededAt.IsZero() || now.Sub(w.exceededAt) >= quotaEventInterval {
-		w.exceededAt = now
+func (g *gateway) logQuotaExceeded(now time.Time, team string, queue *quotaQueue, units uint64, retryAfter time.Duration) {
+	if queue.exceededAt.IsZero() || now.Sub(queue.exceededAt) >= quotaEventInterval {
+		queue.exceededAt = now
 		g.log.Event(sqevent.QuotaExceeded, team, units, retryAfter.Milliseconds())
 	}
 }
--- a/core/sqquota/account.go
+++ b/core/sqquota/account.go
@@ -222,6 +222,7 @@
 			return i
 		}
 	}
+	// The sum was refused, so all of them never fit.
 	return len(waiting) - 1
 }
 
--- a/core/sqquota/issuer.go
+++ b/core/sqquota/issuer.go
@@ -102,12 +102,6 @@
 	return n
 }
 
-// Has reports whether the team has a quota.
-func (s *Issuer) Has(team string) bool {
-	b := s.buckets[team]
-	return b != nil && !b.removed
-}
-
 func (b *bucket) refill(now time.Time) {
 	if now.After(b.refilledAt) {
 		b.level += b.quota.RatePerS * now.Sub(b.refilledAt).Seconds()
@@ -178,8 +172,9 @@
 	b.refill(now)
 }
 
-// refillReserve takes from the bucket what a gateway's reserve is given. What was charged
-// without a check is taken in any case; reserves themselves leave a part of the bucket.
+// refillReserve takes from the bucket what a gateway's reserve is given. What the reserve
+// lacks beyond its size was charged without a check: the units are used, so that debt is
+// taken in any case. The reserve itself leaves a part of the bucket.
 func (s *Issuer) refillReserve(b *bucket, wanted uint64) uint64 {
 	if s.gateways == 0 {
 		return 0
--- a/io/sqhttp/body.go
+++ b/io/sqhttp/body.go
@@ -17,9 +17,9 @@
 	bodyGrowth     = 4
 	// maxCountedRead is the most that countedBody reserves before one read.
 	maxCountedRead = 32 << 10
-	// sharePercent is the part of a connection's share for a body: while its buffer grows,
-	// the one before it is held too.
-	sharePercent = 70
+	// maxBodyPercent is how long a body may be, in percent of what the connection may hold:
+	// while its buffer grows, the one before it is held too.
+	maxBodyPercent = 70
 )
 
 // noMemory returns the error of a body for which there is no memory.
@@ -33,7 +33,7 @@
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (content []byte, err error) {
 	account := AccountOf(r)
 	if share := account.Share(); share > 0 {
-		limit = min(limit, share*sharePercent/100)
+		limit = min(limit, share*maxBodyPercent/100)
 	}
 	body := LimitBody(w, r.Body, limit)
 	account.SetReceiving(true)
--- a/io/sqhttp/conn.go
+++ b/io/sqhttp/conn.go
@@ -80,13 +80,16 @@
 	server  *Server
 	account *sqmemory.Account
 	closed  sync.Once
-	// active is set from the end of a request's headers to the end of its response.
+	// active is set from the end of a request's headers to the end of its response. What is
+	// read meanwhile is its body, which is reserved elsewhere, or a few bytes of the next
+	// request that the server reads ahead.
 	active atomic.Bool
 	// headerBytes and headerLines count what was read of the headers, and requestReserved
 	// is what is reserved for the request without its body. Only the goroutine that serves
 	// the connection uses them.
 	headerBytes, headerLines, requestReserved int64
-	// bytesSinceProgress changes with each read. There is one at a time.
+	// bytesSinceProgress is what was read since progress was last recorded. Only Read uses it,
+	// which is never called concurrently.
 	bytesSinceProgress int
 }
 
@@ -115,8 +118,9 @@
 	return n, err
 }
 
-// recordProgress records that n bytes came. Few bytes after the beginning of a request are no
-// progress, so that a caller that sends a byte now and then gives way to others.
+// recordProgress records that n bytes came. The first bytes of a request are progress, later
+// ones only once there are minProgressBytes, so that a caller that sends a byte now and then
+// gives way to others.
 func (c *conn) recordProgress(n int) {
 	c.bytesSinceProgress += n
 	begins := !c.active.Load() && c.requestReserved == 0
@@ -163,13 +167,14 @@
 	c.headerBytes, c.headerLines, c.requestReserved = 0, 0, 0
 }
 
-// interrupt makes the server end what it is reading. It can still write a response.
+// interrupt makes the server's current read fail, as after a timeout. The handler can still
+// write a response.
 func (c *conn) interrupt() {
 	c.server.report(c.server.evicted, c.RemoteAddr(), "no progress")
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
-// evict closes the connection.
+// evict closes the connection without a response.
 func (c *conn) evict() {
 	c.server.report(c.server.evicted, c.RemoteAddr(), "no progress")
 	_ = c.Close()
--- a/io/sqhttp/sqhttp.go
+++ b/io/sqhttp/sqhttp.go
@@ -1,5 +1,10 @@
 // Package sqhttp has the HTTP listener, client and shutdown helpers that all
 // processes share.
+//
+// A Guard owns the servers of a process that callers could exhaust. It limits the open
+// connections of each listener, and gives each connection an account in the memory budget of
+// the process: headers are reserved by conn as they are read, the request by guardedHandler,
+// and its body by ReadBody or, for handlers that read it themselves, by countedBody.
 package sqhttp
 
 import (
--- a/io/sqmemory/sqmemory.go
+++ b/io/sqmemory/sqmemory.go
@@ -1,5 +1,9 @@
 // Package sqmemory bounds the memory that many requests use together for buffers whose
 // size others decide.
+//
+// A Pool bounds what is kept of responses; each request has a Reservation in it. A Budget
+// bounds what a process holds for all callers; each connection has an Account in it, which
+// may be evicted for another one. A reservation may count in an account as well.
 package sqmemory
 
 import (
