--- a/io/sqhttp/release_test.go
+++ b/io/sqhttp/release_test.go
@@ -33,8 +33,7 @@
 // TestEndOfResponseIsProgress fails if a connection may be closed for another one while the
 // end of a response that took long is still written.
 func TestEndOfResponseIsProgress(t *testing.T) {
-	var g *testGuard
-	g = newTestGuard(t, 128<<20, ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	g := newTestGuard(t, 128<<20, ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(700 * time.Millisecond)
 		_, _ = io.WriteString(w, "answer")
 	})})
