--- a/app/sqgateway/quota.go
+++ b/app/sqgateway/quota.go
@@ -42,6 +42,7 @@
 }
 
 // quotaQueue holds the requests of a team that wait for the lease holder's answer, in order.
+// The first one starts a goroutine, which asks until none waits. The gate's mu guards it.
 type quotaQueue struct {
 	waiters []*quotaWaiter
 	// limit is how many requests the next call is for at most, 0 for any number.
@@ -56,7 +57,8 @@
 type quotaWaiter struct {
 	units  uint64
 	answer chan quotaAnswer
-	// left is set once the request no longer waits, answered once its answer was passed on.
+	// left is set if the request stopped waiting while the holder was asked for it: the units
+	// go back then. answered is set once its answer was passed on.
 	left, answered bool
 }
 
@@ -133,7 +135,7 @@
 	}
 	switch a.verdict {
 	case sqquota.Charged:
-		x.quotaUnits = units
+		x.quotaUnits, x.quotaAskedAt = units, a.askedAt
 		return true
 	case sqquota.Over:
 		g.metrics.quotaRefused.Inc()
@@ -147,6 +149,20 @@
 	return false
 }
 
+// quotaExpired reports whether the request has waited, for an endpoint with room or for
+// connections that failed, until its units may not be spent any more.
+func (x *request) quotaExpired(now time.Time) bool {
+	return x.quotaUnits > 0 && !x.quotaSpent && !sqquota.MaySpend(x.quotaAskedAt, now)
+}
+
+// renewQuota gives the units of a request back and charges it again. It returns false if the
+// request was refused.
+func (x *request) renewQuota() bool {
+	x.giveBackQuota()
+	x.quotaUnits = 0
+	return x.chargeQuota()
+}
+
 // recordQuotaSent records whether a send has reached an endpoint, so that its units are spent.
 func (x *request) recordQuotaSent(err error) {
 	if err == nil || x.connectionFailure(err).outcome != sqattempt.Unsent {
@@ -200,9 +216,9 @@
 
 // logQuotaExceeded logs that a team is over its quota, unless that was logged a short time ago.
 // The caller must hold the gate's mu.
-func (g *gateway) logQuotaExceeded(now time.Time, team string, w *quotaQueue, units uint64, retryAfter time.Duration) {
-	if w.exceededAt.IsZero() || now.Sub(w.exceededAt) >= quotaEventInterval {
-		w.exceededAt = now
+func (g *gateway) logQuotaExceeded(now time.Time, team string, queue *quotaQueue, units uint64, retryAfter time.Duration) {
+	if queue.exceededAt.IsZero() || now.Sub(queue.exceededAt) >= quotaEventInterval {
+		queue.exceededAt = now
 		g.log.Event(sqevent.QuotaExceeded, team, units, retryAfter.Milliseconds())
 	}
 }
