Placement: explain a choice without changing anything

Operators could not see why a gateway prefers an endpoint. Placer.Explain repeats Choose with a recorder in the query, which collects the figures of each candidate and the reasons for which others are none, and restores the state that a choice changes. sqquota.Account.Check is Charge without the charge. go test ./sqplace ./sqquota passes in core.

--- a/core/sqplace/availability.go
+++ b/core/sqplace/availability.go
@@ -21,8 +21,37 @@
 func (n *node) departing() bool { return n.endpoint.Draining() || n.leaving }
 
 // available reports whether the endpoint may get requests.
-func (n *node) available(now time.Time) bool {
-	return !n.departing() && !now.Before(n.refusesUntil) && n.list.usable()
+func (n *node) available(now time.Time) bool { return n.unavailability(now) == Eligible }
+
+// unavailability returns why the endpoint may get no requests.
+func (n *node) unavailability(now time.Time) Exclusion {
+	switch {
+	case n.endpoint.Draining():
+		return Draining
+	case n.leaving:
+		return Leaving
+	case now.Before(n.refusesUntil):
+		return Refuses
+	case !n.list.usable():
+		return ListTooOld
+	}
+	return Eligible
+}
+
+// exclusion returns why the endpoint may not get the request.
+func (p *Placer) exclusion(now time.Time, r *request, n *node) Exclusion {
+	if why := n.unavailability(now); why != Eligible {
+		return why
+	}
+	switch {
+	case !r.allows(n):
+		return OtherVersion
+	case slices.Contains(r.Tried, n.endpoint.ID()):
+		return Tried
+	case !p.limits.Available(now, n.endpoint.ID()):
+		return Limited
+	}
+	return Eligible
 }
 
 // Admit reports whether a listed endpoint may get a request that is sent now, which counts
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -1,9 +1,6 @@
 package sqplace
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// minRemotePrefillTokens is the minimum prompt length that is worth a KV cache
@@ -68,11 +65,13 @@
 func (p *Placer) candidates(now time.Time, s *pool, r *request) []*node {
 	var healthy, all []*node
 	for _, n := range s.nodes {
-		if !n.available(now) || !r.allows(n) || slices.Contains(r.Tried, n.endpoint.ID()) {
-			continue
-		}
-		if !p.limits.Available(now, n.endpoint.ID()) {
-			p.limits.Want(n.endpoint.ID())
+		if why := p.exclusion(now, r, n); why != Eligible {
+			switch {
+			case r.recorder != nil:
+				r.recorder.exclude(now, n, why)
+			case why == Limited:
+				p.limits.Want(n.endpoint.ID())
+			}
 			continue
 		}
 		all = append(all, n)
@@ -83,6 +82,13 @@
 	if len(healthy) == 0 {
 		return all
 	}
+	if r.recorder != nil {
+		for _, n := range all {
+			if n.suspect(now) {
+				r.recorder.exclude(now, n, Suspect)
+			}
+		}
+	}
 	return healthy
 }
 
@@ -107,7 +113,11 @@
 		if bestNode == nil || cost < lowestCost {
 			lowestCost = cost
 		}
-		if rank := cost + p.spread(s, r, n, latency); bestNode == nil || rank < bestRank {
+		rank := cost + p.spread(s, r, n, latency)
+		if r.recorder != nil {
+			r.recorder.add(p, now, s, r, n, estimate{Whole, uncached, room, latency, rank})
+		}
+		if bestNode == nil || rank < bestRank {
 			bestNode, bestRank = n, rank
 			best.choice = Choice{ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time", roomWait: room}
 		}
@@ -185,7 +195,11 @@
 		if prefiller == nil || cost < lowestCost {
 			lowestCost = cost
 		}
-		if rank := cost + p.spread(s, r, n, latency); prefiller == nil || rank < bestRank {
+		rank := cost + p.spread(s, r, n, latency)
+		if r.recorder != nil {
+			r.recorder.add(p, now, s, r, n, estimate{PrefillPart, uncached, room, latency, rank})
+		}
+		if prefiller == nil || rank < bestRank {
 			prefiller, bestRank, prefillLatency, prefillUncached, prefillRoom = n, rank, latency, uncached, room
 		}
 	}
@@ -213,6 +227,9 @@
 		room := p.roomWait(s, r, n)
 		latency := s.slotWait(now, n) + n.slowed(s.prefillWait(r, n)/4) + room
 		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)+p.decodeCost(now, s, r, n))
+		if r.recorder != nil {
+			r.recorder.add(p, now, s, r, n, estimate{DecodePart, 0, room, latency, cost})
+		}
 		if bestNode == nil || cost < best.cost {
 			bestNode, best = n, scoredChoice{cost: cost, choice: Choice{ExpectedLatency: latency, roomWait: room}}
 		}
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -164,6 +164,8 @@
 	// room at an endpoint.
 	BodyBytes int
 	Waited    time.Duration
+	// recorder is set if the choice is to be explained and nothing is to be changed.
+	recorder *recorder
 }
 
 // allows reports whether the version of the endpoint may get the request.
--- a/core/sqquota/account.go
+++ b/core/sqquota/account.go
@@ -101,12 +101,20 @@
 // Charge charges a request to the reserve of its team if that holds the units. The time until
 // the request would be admitted is returned with Over.
 func (a *Account) Charge(now time.Time, team string, units uint64) (Verdict, time.Duration) {
+	verdict, retryAfter := a.Check(now, team, units)
+	if t := a.teams[team]; t != nil && verdict == Charged {
+		t.reserve -= int64(units)
+	}
+	return verdict, retryAfter
+}
+
+// Check returns what Charge would return, and charges nothing.
+func (a *Account) Check(now time.Time, team string, units uint64) (Verdict, time.Duration) {
 	t := a.teams[team]
 	if t == nil || units == 0 {
 		return Charged, 0
 	}
 	if units <= uint64(max(0, t.reserve)) && now.Sub(a.heardAt) < reserveTerm {
-		t.reserve -= int64(units)
 		return Charged, 0
 	}
 	if now.Before(t.refusedUntil) {
