Operators: explain where a gateway would send a request

sequoiadock place asks one gateway at its internal address. The gateway answers with the candidates and their figures, the excluded endpoints, the choice or refusal, route, team and quota state, and sends, counts and charges nothing.

--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -24,6 +24,7 @@
 	"sequoiadock/core/sqfreshness"
 	"sequoiadock/core/sqorigin"
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqplacement"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqquota"
 	"sequoiadock/core/sqretry"
@@ -276,7 +277,8 @@
 	return e
 }
 
-// internalHandler returns the handler of internal requests, which serves the metrics.
+// internalHandler returns the handler of internal requests, which serves the metrics and
+// explains placements.
 func (g *gateway) internalHandler() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(ctx echo.Context) error {
@@ -284,6 +286,7 @@
 		g.metrics.set.WritePrometheus(ctx.Response())
 		return nil
 	})
+	e.POST(sqplacement.Path, g.servePlacement)
 	return e
 }
 
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -203,10 +203,7 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return true
 	}
-	bodyLimit := x.table.Limits().MaxBodyBytes
-	if bodyLimit == 0 {
-		bodyLimit = defaultMaxBodyBytes
-	}
+	bodyLimit := x.maxBodyBytes()
 	rc := http.NewResponseController(x.w)
 	// If the connection does not support deadlines, the server's timeouts apply.
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, x.deadline.Sub(x.receivedAt))))
@@ -232,6 +229,14 @@
 	return false
 }
 
+// maxBodyBytes returns the maximum size of the request's body.
+func (x *request) maxBodyBytes() int64 {
+	if limit := x.table.Limits().MaxBodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultMaxBodyBytes
+}
+
 // timeLeft returns the time until the deadline.
 func (x *request) timeLeft(now time.Time) time.Duration { return x.deadline.Sub(now) }
 
--- a/app/sqoperator/exit.go
+++ b/app/sqoperator/exit.go
@@ -33,10 +33,10 @@
 	case sqerror.Conflict, sqerror.AlreadyBootstrapped, sqerror.MemberChange, sqerror.OrderOpen, sqerror.CallSettled:
 		return exitConflict
 	case sqerror.Unreachable, sqerror.NotHolder, sqerror.NotBootstrapped, sqerror.OutcomeUnknown, sqerror.Stopped,
-		sqerror.Overloaded, sqerror.LeaseLost, sqerror.NotConfirmed:
+		sqerror.Overloaded, sqerror.LeaseLost, sqerror.NotConfirmed, sqerror.StaleEntry:
 		return exitUnreachable
 	case sqerror.NotFound, sqerror.UnknownKey, sqerror.UnknownOrder, sqerror.UnknownCall, sqerror.Refused,
-		sqerror.KeyWithdrawn, sqerror.CallRunning, sqerror.WrongCluster:
+		sqerror.KeyWithdrawn, sqerror.CallRunning, sqerror.WrongCluster, sqerror.UnknownRoute, sqerror.NoKey:
 		return exitRefused
 	default:
 		return exitFailed
--- a/app/sqoperator/sqoperator.go
+++ b/app/sqoperator/sqoperator.go
@@ -33,6 +33,8 @@
 	help string
 	// local is true for commands that send no requests to other processes.
 	local bool
+	// direct is true for commands that ask only the process named by an argument.
+	direct bool
 	// addFlags declares the flags specific to this command.
 	addFlags func(c *invocation, f *flag.FlagSet)
 	run      func(ctx context.Context, c *invocation) error
@@ -61,13 +63,14 @@
 	note        string
 	plotFile    string
 	deployment  string
+	place       placeFlags
 }
 
 // subcommands returns the operator commands in the order of the help overview.
 func subcommands() []subcommand {
 	return []subcommand{
 		checkCommand, setupCommand, publishCommand,
-		keyCommand, statusCommand, explainCommand, traceCommand, reportCommand,
+		keyCommand, statusCommand, explainCommand, placeCommand, traceCommand, reportCommand,
 		drainCommand, replaceCommand, settleCommand, versionCommand,
 	}
 }
@@ -156,7 +159,9 @@
 	if c.cmd.local {
 		return f
 	}
-	f.StringVar(&c.controls, "controls", c.controls, "`addresses` of the control processes, as ip:port,ip:port; default from $"+EnvControls)
+	if !c.cmd.direct {
+		f.StringVar(&c.controls, "controls", c.controls, "`addresses` of the control processes, as ip:port,ip:port; default from $"+EnvControls)
+	}
 	f.DurationVar(&c.timeout, "timeout", defaultTimeout, "`time` after which the command gives up")
 	if c.cmd.addFlags != nil {
 		c.cmd.addFlags(c, f)
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -87,12 +87,17 @@
 	return preferredNode(r.hashes, r.lengths, nodes)
 }
 
+// knownCached returns how many prompt tokens the node is known or expected to hold.
+func (r *request) knownCached(n *node) int {
+	if r.weighed {
+		return n.expectedCached
+	}
+	return n.cache.cachedTokens(r.hashes, r.lengths)
+}
+
 // uncachedTokens returns how many prompt tokens the node has to prefill.
 func (r *request) uncachedTokens(n, preferred *node) int {
-	cached := n.expectedCached
-	if !r.weighed {
-		cached = n.cache.cachedTokens(r.hashes, r.lengths)
-	}
+	cached := r.knownCached(n)
 	if last := len(r.lengths) - 1; n == preferred && !r.prefixCached && cached < r.lengths[last] {
 		cached = max(cached, r.lengths[last]*(100-preferredUncachedPercent)/100)
 	}
--- a/core/sqplace/explain.go
+++ b/core/sqplace/explain.go
@@ -48,8 +48,10 @@
 	// MaxRetryAfter are the range of Choice.RetryAfter.
 	Draws                        int
 	MinRetryAfter, MaxRetryAfter time.Duration
-	Candidates                   []*Candidate
-	Excluded                     []Excluded
+	// Transfer is the part of Choice.ExpectedLatency in which a KV cache is transferred.
+	Transfer   time.Duration
+	Candidates []*Candidate
+	Excluded   []Excluded
 }
 
 // Excluded is an endpoint that is no candidate.
@@ -79,6 +81,9 @@
 	// shared prefix being held, or -1 if it is not estimated.
 	CachedTokens, UncachedTokens int
 	Probability                  float64
+	// AssumedCached is set if CachedTokens is not what the engine is known or expected to hold,
+	// but what it is assumed to hold as the one that all gateways prefer for the prefix.
+	AssumedCached bool
 	// Local and Remote are the loads of this gateway and of the others, Running the estimate
 	// that was used.
 	Local, Remote Load
@@ -160,6 +165,9 @@
 		rec.count(&c)
 	}
 	p.randomState = state
+	if e.Choice.PrefillEndpoint != nil {
+		e.Transfer = s.transferTime(&q.Prompt)
+	}
 	e.Candidates, e.Excluded = rec.candidates, rec.excluded
 	return e
 }
@@ -222,6 +230,7 @@
 	default:
 		c.Prefill, c.Interference = n.slowed(s.prefillTime(e.uncached, n.endpoint.Stage())), s.interference(now, n, e.uncached)
 		c.UncachedTokens, c.CachedTokens = e.uncached, r.Prompt.Tokens-e.uncached
+		c.AssumedCached = c.CachedTokens > r.knownCached(n)
 		if last := len(r.hashes) - 1; r.weighed && last >= 0 && n.resident != nil {
 			c.Probability, _ = s.probability(n, r.hashes[last], r.lengths[last], s.residency.unseen(now))
 		}
