--- a/core/sqplacement/text.go
+++ b/core/sqplacement/text.go
@@ -19,7 +19,11 @@
 	fmt.Fprintf(w, "route %s, team %s, service %s of %s, priority %d, most urgent: %t, time left %s ms\n", r.Route, team, r.Service,
 		strings.Join(r.Services, ", "), r.Priority, r.Urgent, decimal(r.TimeLeftMillis))
 	fmt.Fprintf(w, "quota: %s\n", r.Quota.text())
-	fmt.Fprintf(w, "choice: %s\n", r.Choice.text())
+	choice := "choice"
+	if r.Quota.State == QuotaExceeded {
+		choice = "choice if the quota admitted the request"
+	}
+	fmt.Fprintf(w, "%s: %s\n", choice, r.Choice.text())
 	if len(r.Candidates) > 0 {
 		fmt.Fprintf(w, "\nTimes are in ms. COST has a random part; its range and CHOSEN are those of %d draws.\n", r.Draws)
 		fmt.Fprintln(w, "EXPECTED is the sum of SLOT to BASE; COST adds PENALTY to CONNECT and the random part.")
@@ -98,7 +102,12 @@
 	}
 }
 
-func (r *Range) text() string { return decimal(r.Low) + ".." + decimal(r.High) }
+func (r *Range) text() string {
+	if r.Low == r.High {
+		return decimal(r.Low)
+	}
+	return decimal(r.Low) + ".." + decimal(r.High)
+}
 
 func decimal(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
 
