--- a/core/sqplace/explain_test.go
+++ b/core/sqplace/explain_test.go
@@ -106,3 +106,19 @@
 	assert.Assert(t, e.Choice.Endpoint == nil && e.MinRetryAfter >= 2*time.Second && e.MaxRetryAfter > e.MinRetryAfter && e.MaxRetryAfter <= 3*time.Second)
 	assert.Equal(t, e.Excluded[0].For, 2*time.Second)
 }
+
+// BenchmarkExplain measures for how long an explanation keeps the placer locked.
+func BenchmarkExplain(b *testing.B) {
+	for _, engines := range []int{57, 130, 1100} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			var fleet []Endpoint
+			for i := range engines {
+				fleet = append(fleet, engineEndpoint(fmt.Sprint("e", i), []Stage{Prefill, Prefill, Decode, Decode, Decode}[i%5]))
+			}
+			p := newPlacer(b, fleet...)
+			for b.Loop() {
+				p.Explain(start, engineQuery("shared", 900, 200))
+			}
+		})
+	}
+}
--- a/core/sqquota/sqquota_test.go
+++ b/core/sqquota/sqquota_test.go
@@ -144,3 +144,19 @@
 	a.SetGateways(at(5.1), 60)
 	assert.Equal(t, size(), int64(0), "nothing was heard for 4 s")
 }
+
+// TestCheckChargesNothing guards against a question about the quota that uses the reserve.
+func TestCheckChargesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := NewAccount(Bounds{Window: 8 * time.Second, Overrun: 0.1, Slack: 4000})
+	a.SetQuotas(map[string]Quota{"t": {RatePerS: 1000, Burst: 1000}})
+	a.teams["t"].reserve, a.heardAt = 500, now
+	for _, units := range []uint64{400, 501, 400} {
+		want, _ := a.Check(now, "t", units)
+		assert.Equal(t, want, map[bool]Verdict{true: Charged, false: Ask}[units <= 500])
+		assert.Equal(t, a.teams["t"].reserve, int64(500))
+	}
+	verdict, _ := a.Charge(now, "t", 400)
+	assert.Equal(t, verdict, Charged)
+	assert.Equal(t, a.teams["t"].reserve, int64(100))
+}
