Gateways: a request whose caller has disconnected no longer waits for room

The wait for room returned at once when the caller had disconnected, and the request chose endpoints again without a pause until its deadline. On a VM with a fraction of a core, a few such requests take the processor from others. Now the request ends after the wait. TestNoWaitForRoomAfterDisconnect fails without the change: the request lasts until its deadline.

--- a/app/sqgateway/room.go
+++ b/app/sqgateway/room.go
@@ -7,8 +7,9 @@
 )
 
 // awaitRoom waits, since no endpoint has room for the request yet, before endpoints are
-// compared again. It returns early at the request's deadline, or if the caller disconnects.
-func (x *request) awaitRoom(now time.Time, wait time.Duration) {
+// compared again. It returns early at the request's deadline, or if the caller disconnects, in
+// which case it returns false.
+func (x *request) awaitRoom(now time.Time, wait time.Duration) bool {
 	if x.waitedForRoom == 0 {
 		x.g.metrics.roomWaits.Inc()
 	}
@@ -20,4 +21,5 @@
 	w.End()
 	x.g.mu.Unlock()
 	x.waitedForRoom += sqclock.Now().Sub(now)
+	return !x.callerDisconnected()
 }
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -33,7 +33,10 @@
 		}
 		choice := x.choose(now)
 		if choice.Wait > 0 {
-			x.awaitRoom(now, choice.Wait)
+			if !x.awaitRoom(now, choice.Wait) {
+				x.finishUnanswered(x.stepWithoutEndpoint(now), choice.Reason, choice.RetryAfter)
+				return
+			}
 			continue
 		}
 		if choice.Endpoint == nil {
