Placement: token counts that callers claim are bounded

The counts of a prompt are the caller's and were summed as they came. A sum could overflow to a negative reservation, one absurd count closed an engine to others and stopped the learning of hold times, parts that exceed the prompt made the share of private tokens negative, and parts without tokens made the record of uses grow without bound. A request now counts for one engine's memory at most, and a segment of the record ends after 200 uses.

--- a/core/sqplace/occupancy.go
+++ b/core/sqplace/occupancy.go
@@ -1,6 +1,10 @@
 package sqplace
 
-import "time"
+import (
+	"time"
+
+	"sequoiadock/core/sqattempt"
+)
 
 const (
 	// urgentReservePercent is the share of an engine's memory, and of the bound on bodies,
@@ -25,6 +29,9 @@
 	minRoomRecheck = 5 * time.Millisecond
 	maxRoomRecheck = 250 * time.Millisecond
 	recheckPercent = 15
+	// maxMemoryTokens bounds the memory of an engine, so that sums over requests and gateways
+	// do not overflow.
+	maxMemoryTokens = 1 << 30
 )
 
 // occupancy is the mean of how long requests occupy the memory of endpoints of a service,
@@ -72,17 +79,36 @@
 // memoryTokens returns the tokens of KV cache that the request occupies at its end. Parts
 // that other requests share are counted too: whether they are shared at the endpoint is not
 // known, and the endpoint fails if the sum is too low.
-func (q *Query) memoryTokens() int { return q.Prompt.Tokens + q.Prompt.MaxOutputTokens }
+func (q *Query) memoryTokens() int { return memoryTokens(&q.Prompt) }
+
+func memoryTokens(p *sqattempt.Prompt) int {
+	return min(p.Tokens, maxMemoryTokens) + min(p.MaxOutputTokens, maxMemoryTokens)
+}
+
+// occupiedTokens returns the memoryTokens of a prompt, at most the whole memory of an engine:
+// they are the caller's figures, and one that is too high must not close the engine to others.
+func (s *pool) occupiedTokens(p *sqattempt.Prompt) int {
+	if s.engine == nil {
+		return 0
+	}
+	return min(memoryTokens(p), s.memory())
+}
+
+// memory returns the tokens of KV cache that fit into an engine, or maxMemoryTokens if the
+// routing table does not say.
+func (s *pool) memory() int {
+	if s.engine.KVCapacityTokens <= 0 {
+		return maxMemoryTokens
+	}
+	return min(s.engine.KVCapacityTokens, maxMemoryTokens)
+}
 
 // reserve counts what the request occupies at the endpoint.
 func (s *pool) reserve(n *node, q *Query) reservation {
 	if !s.countsMemory() {
 		return reservation{}
 	}
-	r := reservation{bodyBytes: q.BodyBytes}
-	if s.engine != nil {
-		r.tokens = q.memoryTokens()
-	}
+	r := reservation{tokens: s.occupiedTokens(&q.Prompt), bodyBytes: q.BodyBytes}
 	n.local.MemoryTokens += r.tokens
 	n.local.BodyBytes += r.bodyBytes
 	return r
@@ -115,7 +141,7 @@
 	}
 	wait := time.Duration(0)
 	if s.weighs() {
-		u := use{n.local.MemoryTokens, n.localAtSum.MemoryTokens, n.remote.MemoryTokens, r.memoryTokens(), s.engine.KVCapacityTokens}
+		u := use{n.local.MemoryTokens, n.localAtSum.MemoryTokens, n.remote.MemoryTokens, s.occupiedTokens(&r.Prompt), s.engine.KVCapacityTokens}
 		wait = s.timeToFree(r, u)
 		if s.limitedMemory && u.held()*100 > u.limit*unsharedPercent {
 			wait = max(wait, p.shareWait(s, u))
@@ -172,7 +198,8 @@
 
 // StartRoomWait records that a request waits for room.
 func (p *Placer) StartRoomWait(q *Query) *RoomWait {
-	w := &RoomWait{pool: p.pool(q.Service), tokens: q.memoryTokens()}
+	s := p.pool(q.Service)
+	w := &RoomWait{pool: s, tokens: s.occupiedTokens(&q.Prompt)}
 	w.pool.occupancy.waiting += w.tokens
 	return w
 }
--- a/core/sqplace/residency.go
+++ b/core/sqplace/residency.go
@@ -4,12 +4,15 @@
 	// segmentsPerMemory is how finely the order of uses is recorded: a segment holds the
 	// tokens of this part of an engine's memory.
 	segmentsPerMemory = 24
-	// residencySegments is how many segments are kept. They cover more tokens than fit into
+	// residencySegments is how many segments are kept. Unless prefixes are very short, they cover more tokens than fit into
 	// the memory, since the engine may evict in another order.
 	residencySegments = 36
 	// sweepSegments is after how many segments the uses that are not covered any more are
 	// forgotten.
 	sweepSegments = 8
+	// maxSegmentUses is after how many uses a segment ends that holds too few tokens, so that
+	// the record of prefixes of few tokens is bounded.
+	maxSegmentUses = 200
 )
 
 // residency records the order in which an engine last used the tokens in its KV cache. It
@@ -22,9 +25,11 @@
 	// tokens counts, for each segment, the tokens that were last used in it. Segment i is
 	// at index i % residencySegments.
 	tokens [residencySegments]int
-	// current is the segment of the newest uses, and filled the tokens used in it.
-	current uint64
-	filled  int
+	// current is the segment of the newest uses, filled the tokens used in it, and prefixes
+	// how many uses of prefixes it has.
+	current  uint64
+	filled   int
+	prefixes int
 }
 
 // prefixUse is the last use of a prefix.
@@ -46,6 +51,7 @@
 		c.tokens[old.segment%residencySegments] -= old.tokens
 	}
 	c.uses[hash] = prefixUse{tokens: tokens, segment: c.current}
+	c.prefixes++
 	c.insert(tokens, memory)
 }
 
@@ -53,14 +59,14 @@
 func (c *residency) insert(tokens, memory int) {
 	c.tokens[c.current%residencySegments] += tokens
 	c.filled += tokens
-	if c.filled >= max(1, memory/segmentsPerMemory) {
+	if c.filled >= max(1, memory/segmentsPerMemory) || c.prefixes >= maxSegmentUses {
 		c.startSegment()
 	}
 }
 
 func (c *residency) startSegment() {
 	c.current++
-	c.filled = 0
+	c.filled, c.prefixes = 0, 0
 	c.tokens[c.current%residencySegments] = 0
 	if c.current%sweepSegments != 0 {
 		return
--- a/core/sqplace/weigh.go
+++ b/core/sqplace/weigh.go
@@ -103,7 +103,7 @@
 	if !ok {
 		return 0, 0
 	}
-	memory := float64(s.engine.KVCapacityTokens)
+	memory := float64(s.memory())
 	running := float64(n.local.MemoryTokens+n.remote.MemoryTokens) * s.residency.privateShare
 	ahead := max(float64(since)+unseen, running) + float64(length)
 	width := memory*orderDoubtPercent/100 + float64(since)*countDoubtPercent/100 + unseen
@@ -164,20 +164,23 @@
 // gateways. Of requests with short prefixes, a random sample is reported that stands for all
 // of them, since they are many and fill the memory as well.
 func (p *Placer) recordUses(s *pool, n *node, prompt *sqattempt.Prompt) {
-	memory := s.engine.KVCapacityTokens
+	// The numbers are the caller's: none counts for more than the whole memory.
+	memory := s.memory()
 	hashes, lengths := prefixHashes(prompt)
 	c, reported, shared := n.residentAt(), -1, 0
 	for i, hash := range hashes {
-		c.use(hash, prompt.Parts[i].Tokens, memory)
-		shared = lengths[i]
+		tokens := min(prompt.Parts[i].Tokens, memory)
+		c.use(hash, tokens, memory)
+		shared = min(shared+tokens, memory)
 		if lengths[i] >= minPreferredPrefixTokens && len(p.cacheUpdates) < maxCacheUpdates {
 			reported = len(p.cacheUpdates)
-			p.cacheUpdates = append(p.cacheUpdates, CacheUpdate{Endpoint: n.endpoint.ID(), PrefixHash: uint64(hash), Tokens: prompt.Parts[i].Tokens})
+			p.cacheUpdates = append(p.cacheUpdates, CacheUpdate{Endpoint: n.endpoint.ID(), PrefixHash: uint64(hash), Tokens: tokens})
 		}
 	}
-	own := prompt.Tokens - shared + prompt.MaxOutputTokens
+	total := s.occupiedTokens(prompt)
+	own := max(0, total-shared)
 	c.insert(own, memory)
-	if total := prompt.Tokens + prompt.MaxOutputTokens; total > 0 {
+	if total > 0 {
 		s.residency.privateShare += privateShareWeight * (float64(own)/float64(total) - s.residency.privateShare)
 	}
 	if reported >= 0 {
@@ -204,7 +207,7 @@
 		if !s.weighs() {
 			continue
 		}
-		c, memory := n.residentAt(), s.engine.KVCapacityTokens
+		c, memory := n.residentAt(), s.memory()
 		if u.PrefixHash != 0 {
 			c.use(prefixHash(u.PrefixHash), u.Tokens, memory)
 		}
@@ -232,7 +235,7 @@
 	each := float64(received) / float64(len(s.nodes))
 	if missing := m.othersRate*elapsed.Seconds() - each; elapsed > gapTime && missing > 0 {
 		for _, n := range s.nodes {
-			n.residentAt().insert(int(missing), s.engine.KVCapacityTokens)
+			n.residentAt().insert(int(missing), s.memory())
 		}
 		return
 	}
