Gateways: the test of disconnected callers that wait for room compares with half of the deadline

Without the fix the request ended shortly before its deadline, when it could not be met any more, so that the bound of the test did not fail then. It now fails without the fix and passes with it.

--- a/app/sqgateway/roomdisconnect_test.go
+++ b/app/sqgateway/roomdisconnect_test.go
@@ -32,7 +32,8 @@
 	req.Host = "h.example"
 	req.Header.Set("X-Attempt", "a1")
 	req.Header.Set("X-Key", "key")
-	deadline := sqclock.Now().Add(2 * time.Second)
+	// The route allows 2 s, one wait takes 0.3 s at most.
+	halfTime := sqclock.Now().Add(time.Second)
 	go func() {
 		if res, err := http.DefaultClient.Do(req); err == nil {
 			res.Body.Close()
@@ -41,5 +42,5 @@
 	waitFor(t, func() bool { return s.gateway.metrics.roomWaits.Get() > 0 })
 	cancel()
 	waitFor(t, func() bool { return s.gateway.metrics.running.Load() == 0 })
-	assert.Assert(t, sqclock.Now().Before(deadline), "the request waited until its deadline")
+	assert.Assert(t, sqclock.Now().Before(halfTime), "the request went on")
 }
