Capacity: endpoints that stand in for reclaimed ones stay until these are back

On-demand endpoints that filled the limit of a zone left no room for spot endpoints: none were ordered, which counted as if all had returned, and after 5 s the stand-ins were released while the spot endpoints were still gone. With a shortage, on-demand endpoints were ordered and released in turn. And a zone counted as lost when fewer spot endpoints were ordered than before and one of them crashed. Now half of the zone's spot endpoints keep room and stay ordered, recovery is counted against that number, and the number falls with the orders.

--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -53,13 +53,14 @@
 	target := s.target + s.replacements(svc)
 	targetPerZone := min((target+len(zones)-1)/len(zones), svc.Scaling.MaxPerZone)
 	shortage := s.shortagePerZone(svc, len(zones))
-	standIns := map[string]int{}
+	reserve := s.minOnDemandPerZone(svc, len(zones))
+	var standIns map[string]int
 	if svc.ReplacesReclaimed {
-		standIns = s.standIns(now, svc, zones)
+		standIns = s.standIns(now, svc, zones, max(0, targetPerZone-reserve))
 	}
 	var orders []Order
 	for _, zone := range zones {
-		minOnDemand := s.minOnDemandPerZone(svc, len(zones)) + standIns[zone]
+		minOnDemand := reserve + standIns[zone]
 		for _, o := range s.zoneOrders(svc, zone, targetPerZone, minOnDemand, shortage) {
 			if s.needsSending(now, o) {
 				orders = append(orders, o)
@@ -151,8 +152,9 @@
 	if price := svc.Scaling.SpotPriceRatio; price <= 0 || price >= 1 {
 		return []Order{{Service: svc.Name, Zone: zone, Count: max(minOnDemand, target), Listed: current.onDemand, Reason: "the busiest second"}}
 	}
-	spot := max(0, target-minOnDemand)
-	onDemand := minOnDemand
+	awaited := s.spotsOf(zone).awaited
+	spot := max(0, target-minOnDemand, awaited)
+	onDemand, room := minOnDemand, svc.Scaling.MaxPerZone-max(current.spot, awaited)
 	if s.lastOrders[orderKey{zone, false}].sentAt.IsZero() && current.spot*2 < spot {
 		// The initial endpoints stay until at least half of the spot endpoints are listed.
 		onDemand = current.onDemand
@@ -160,7 +162,13 @@
 	if shortage > 0 {
 		// Missing spot endpoints leave room for on-demand endpoints, since the zone's
 		// limit covers both.
-		onDemand = max(onDemand, min(current.onDemand+shortage, svc.Scaling.MaxPerZone-current.spot))
+		onDemand = max(onDemand, min(current.onDemand+shortage, room))
+		spot = min(spot, svc.Scaling.MaxPerZone-onDemand)
+	}
+	if awaited > 0 {
+		// What was ordered on demand stays until the zone has its spot endpoints back, also if
+		// there is no shortage with them.
+		onDemand = max(onDemand, min(current.onDemand, room))
 		spot = min(spot, svc.Scaling.MaxPerZone-onDemand)
 	}
 	return []Order{
--- a/core/sqcapacity/reclaim.go
+++ b/core/sqcapacity/reclaim.go
@@ -16,42 +16,48 @@
 	// most is the highest number that was listed since the last loss.
 	most int
 	lost bool
+	// awaited is how many must be back before a lost zone has recovered, else 0.
+	awaited int
 	// backSince is since when a lost zone has its spot endpoints back.
 	backSince time.Time
 }
 
-// observe updates the state of a zone that lists so many spot endpoints, of which ordered
-// ones shall run. A zone has lost its spot endpoints if fewer than half are left.
-func (z *zoneSpots) observe(now time.Time, listed, ordered int) {
+// observe updates the state of a zone that lists so many spot endpoints, of which full ones
+// shall run without a loss. A zone has lost its spot endpoints if fewer than half are left,
+// and has them back once half of them run again. The number that is ordered meanwhile does not
+// count: the endpoints that stand in take some of the zone's room.
+func (z *zoneSpots) observe(now time.Time, listed, full int) {
+	if !z.lost {
+		z.most = max(z.most, listed)
+	}
+	// Endpoints beyond the full number were released, not lost.
+	z.most = min(z.most, full)
 	switch {
 	case listed*2 < z.most:
-		z.lost, z.backSince = true, time.Time{}
-	case z.lost && listed*2 >= ordered:
+		z.lost, z.backSince, z.awaited = true, time.Time{}, (z.most+1)/2
+	case z.lost:
 		if z.backSince.IsZero() {
 			z.backSince = now
 		}
 		if now.Sub(z.backSince) >= zoneRecoveryTime {
-			*z = zoneSpots{}
+			*z = zoneSpots{most: listed}
 		}
-	case z.lost:
-		z.backSince = time.Time{}
-	}
-	if !z.lost {
-		z.most = max(z.most, listed)
 	}
 }
 
 // standIns returns how many on-demand endpoints each zone that has lost its spot
 // endpoints runs in their place, by zone. Once a zone is lost, another one may be lost
 // sooner than an endpoint starts. So there are as many that the service keeps its initial
-// number of endpoints even if the zone with the most spot endpoints is lost next.
-func (s *serviceState) standIns(now time.Time, svc *Service, zones []string) map[string]int {
+// number of endpoints even if the zone with the most spot endpoints is lost next, as far as
+// the zone's limit leaves room for half of its spot endpoints to return. Full is the number
+// of spot endpoints of a zone without a loss.
+func (s *serviceState) standIns(now time.Time, svc *Service, zones []string, full int) map[string]int {
 	var lost []string
 	remaining, most := 0, 0
 	for _, zone := range zones {
 		spots := s.spotsOf(zone)
 		listed := countEndpoints(svc.Endpoints, zone).spot
-		spots.observe(now, listed, s.lastOrders[orderKey{zone, true}].count)
+		spots.observe(now, listed, full)
 		remaining += svc.Scaling.MinPerZone
 		if spots.lost {
 			// Those that are left are about to go, and new ones have empty caches.
@@ -70,7 +76,7 @@
 	missing := max(0, s.initialEndpoints-remaining)
 	standIns := make(map[string]int, len(lost))
 	for _, zone := range lost {
-		room := svc.Scaling.MaxPerZone - svc.Scaling.MinPerZone - countEndpoints(svc.Endpoints, zone).spot
+		room := svc.Scaling.MaxPerZone - svc.Scaling.MinPerZone - max(countEndpoints(svc.Endpoints, zone).spot, s.spotsOf(zone).awaited)
 		standIns[zone] = max(0, min((missing+len(lost)-1)/len(lost), room))
 	}
 	return standIns
