Capacity: a new lease holder awaits reports of speed before it orders a reserve

Whether reclaimed endpoints are replaced only when needed depended on the speeds that the holder knew at the moment. A new holder knew none: it ordered the constant reserve on demand in place of running spot endpoints, and released it when the first report arrived. The same happened after two minutes without requests. The decision now stays for the term. A holder that takes over leaves a zone with fewer on-demand endpoints than the reserve as it is until it has seen requests for 5 s without a report.

--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -50,16 +50,21 @@
 		return nil
 	}
 	zones := pricedZones(svc)
+	reserveKnown := s.decideReserve(now, svc)
 	target := s.target + s.replacements(svc)
 	targetPerZone := min((target+len(zones)-1)/len(zones), svc.Scaling.MaxPerZone)
 	shortage := s.shortagePerZone(svc, len(zones))
 	reserve := s.minOnDemandPerZone(svc, len(zones))
 	var standIns map[string]int
-	if svc.ReplacesReclaimed {
+	if s.replacesReclaimed {
 		standIns = s.standIns(now, svc, zones, max(0, targetPerZone-reserve))
 	}
 	var orders []Order
 	for _, zone := range zones {
+		if !reserveKnown && countEndpoints(svc.Endpoints, zone).onDemand < reserve {
+			// The endpoints that an earlier lease holder ordered stay.
+			continue
+		}
 		minOnDemand := reserve + standIns[zone]
 		for _, o := range s.zoneOrders(svc, zone, targetPerZone, minOnDemand, shortage) {
 			if s.needsSending(now, o) {
@@ -140,7 +145,7 @@
 
 // minOnDemandPerZone returns the minimum number of on-demand endpoints of each zone.
 func (s *serviceState) minOnDemandPerZone(svc *Service, zones int) int {
-	if svc.ReplacesReclaimed {
+	if s.replacesReclaimed {
 		return svc.Scaling.MinPerZone
 	}
 	return max(svc.Scaling.MinPerZone, s.initialEndpoints*minOnDemandPercent/100/zones)
--- a/core/sqcapacity/reclaim.go
+++ b/core/sqcapacity/reclaim.go
@@ -9,6 +9,9 @@
 	// zoneRecoveryTime is how long a zone must have its spot endpoints back before the
 	// on-demand endpoints that stand in for them are released: new engines have empty caches.
 	zoneRecoveryTime = 5 * time.Second
+	// speedReportTime is how long after the first request a lease holder has heard of the
+	// speed of an endpoint, if any reports it: a few heartbeats.
+	speedReportTime = 5 * time.Second
 )
 
 // zoneSpots is what a planner remembers of the spot endpoints of one zone.
@@ -82,6 +85,21 @@
 	return standIns
 }
 
+// decideReserve sets whether reclaimed spot endpoints of the service are replaced instead of
+// a constant reserve being kept. It returns false while that is not known: a new lease holder
+// knows the speeds of endpoints only some time after requests are answered.
+func (s *serviceState) decideReserve(now time.Time, svc *Service) bool {
+	if !s.planned {
+		s.planned, s.takesOver = true, svc.InitialEndpoints > 0
+	}
+	// Endpoints without requests do not report their speed, so the decision stays.
+	s.replacesReclaimed = s.replacesReclaimed || svc.ReplacesReclaimed
+	if _, hasDemand := s.demand.peak(); hasDemand && s.demandSince.IsZero() {
+		s.demandSince = now
+	}
+	return s.replacesReclaimed || !s.takesOver || !s.demandSince.IsZero() && now.Sub(s.demandSince) >= speedReportTime
+}
+
 func (s *serviceState) spotsOf(zone string) *zoneSpots {
 	z := s.spots[zone]
 	if z == nil {
--- a/core/sqcapacity/sqcapacity.go
+++ b/core/sqcapacity/sqcapacity.go
@@ -80,6 +80,12 @@
 	stageChangedAt map[string]time.Time
 	// spots holds the state of the spot endpoints of each zone.
 	spots map[string]*zoneSpots
+	// replacesReclaimed is set once the service's ReplacesReclaimed was.
+	replacesReclaimed bool
+	// planned is set once orders were planned, takesOver if an earlier lease holder had
+	// ordered endpoints by then. demandSince is since when the planner knows of requests.
+	planned, takesOver bool
+	demandSince        time.Time
 }
 
 type orderKey struct {
