Placement: the decode engine after a remote prefill needs room for the request

ChooseDecode returned an engine also where the settings say that endpoints fail when their memory is exceeded and no engine had room. Now the request waits for room as any other does, with its KV cache kept at the prefill engine, and goes back to Choose where its deadline cannot be met. Where memory is not limited nothing changes.

speed.go: the same bound on the latency is a method now, one comment reflowed.

--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -161,17 +161,10 @@
 	if err != nil {
 		return x.handlePrefillFailure(choice, err)
 	}
-	now := sqclock.Now()
-	if v := x.g.view.Load(); !v.fresh(now) {
-		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
-		x.finishUnanswered(x.stepWithoutEndpoint(now), v.staleReason(), v.retryAfter(now))
-		return true
-	}
-	if x.refuseQuarantined(now) {
-		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
+	decode, ok := x.awaitDecode(choice, cacheSource)
+	if !ok {
 		return true
 	}
-	decode := x.chooseDecode(now, choice.PrefillEndpoint)
 	if decode.Endpoint == nil {
 		x.releaseHandle(choice.PrefillEndpoint, cacheSource)
 		if x.origin == nil && !x.noRemotePrefill {
@@ -179,7 +172,7 @@
 			x.noRemotePrefill = true
 			return false
 		}
-		x.finishUnanswered(x.stepWithoutEndpoint(now), decode.Reason, decode.RetryAfter)
+		x.finishUnanswered(x.stepWithoutEndpoint(sqclock.Now()), decode.Reason, decode.RetryAfter)
 		return true
 	}
 	return x.sendTo(decode.Endpoint, choice, cacheSource)
--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -41,15 +41,14 @@
 		return p.noEndpoint(now, s, q, "no endpoint can be reached")
 	}
 	c = p.addQueueWait(s, q, c)
-	if maxLatency := q.TimeLeft * maxLatencyPercent / 100; c.ExpectedLatency > maxLatency {
-		retryAfter := min(max(c.ExpectedLatency-maxLatency, minRetryAfter), maxRetryAfter)
-		return Choice{ExpectedLatency: c.ExpectedLatency, RetryAfter: retryAfter, Reason: "the deadline cannot be met"}
+	if c.ExpectedLatency > q.maxLatency() {
+		return tooLate(q, c)
 	}
 	return p.holdBack(s, q, c)
 }
 
 // ChooseDecode returns the engine that generates the tokens of a request whose
-// prompt another engine has prefilled.
+// prompt another engine has prefilled. As with Choose, the request may have to wait.
 func (p *Placer) ChooseDecode(now time.Time, q *Query) Choice {
 	s := p.services[q.Service]
 	if s == nil {
@@ -60,7 +59,19 @@
 	if c.Endpoint == nil {
 		return p.noEndpoint(now, s, q, "no engine can make the tokens")
 	}
-	return c
+	if s.limitedMemory && c.roomWait > 0 && c.ExpectedLatency > q.maxLatency() {
+		return tooLate(q, c)
+	}
+	return p.holdBack(s, q, c)
+}
+
+// maxLatency returns the longest expected latency of a request that is not refused.
+func (q *Query) maxLatency() time.Duration { return q.TimeLeft * maxLatencyPercent / 100 }
+
+// tooLate returns the refusal of a request that would be answered too late.
+func tooLate(q *Query, c Choice) Choice {
+	retryAfter := min(max(c.ExpectedLatency-q.maxLatency(), minRetryAfter), maxRetryAfter)
+	return Choice{ExpectedLatency: c.ExpectedLatency, RetryAfter: retryAfter, Reason: "the deadline cannot be met"}
 }
 
 // candidates returns the endpoints that may get the request. Suspect endpoints are
--- a/core/sqplace/speed.go
+++ b/core/sqplace/speed.go
@@ -85,13 +85,12 @@
 // causes at the endpoint, so that faster endpoints are chosen more often and not always:
 // otherwise all gateways would choose the same few until they hear of each other's requests.
 // What a cached prefix saves is not changed, and nothing among endpoints of equal speed. An
-// endpoint that is expected to be late comes
-// after all others.
+// endpoint that is expected to be late comes after all others.
 func (p *Placer) spread(s *pool, r *request, n *node, latency time.Duration) time.Duration {
 	if !s.reportsSpeed || r.spreadShare == 0 {
 		return 0
 	}
-	if latency > r.TimeLeft*maxLatencyPercent/100 {
+	if latency > r.maxLatency() {
 		return lateCost
 	}
 	return time.Duration(float64(n.slowed(r.leastWork[n.endpoint.Stage()])) * (p.randomWeight() - 1) * r.spreadShare)
