Placement: memory stays reserved while an endpoint is missing in the list

An endpoint that was not listed for a moment came back without the requests that still ran there: its memory was given out twice. Where memory is counted, endpoints with requests in flight now keep their state until these have ended. And one update of another gateway with an absurd size made all prefixes at all engines count as evicted; it now counts for one engine's memory at most.

--- a/core/sqplace/occupancy.go
+++ b/core/sqplace/occupancy.go
@@ -73,6 +73,29 @@
 	}
 }
 
+// knownNode returns the state of an endpoint that is listed, or was while requests of this
+// gateway run there, or nil.
+func (p *Placer) knownNode(id string) *node {
+	if n := p.nodes[id]; n != nil {
+		return n
+	}
+	return p.unlisted[id]
+}
+
+// keepUnlisted keeps the endpoints that are missing in the new list and still hold requests
+// of this gateway, so that what these occupy is neither lost nor given out twice.
+func (p *Placer) keepUnlisted(listed map[string]*node) {
+	unlisted := map[string]*node{}
+	for _, nodes := range []map[string]*node{p.nodes, p.unlisted} {
+		for id, n := range nodes {
+			if listed[id] == nil && n.local != (Load{}) && p.pool(n.endpoint.Service()).countsMemory() {
+				unlisted[id] = n
+			}
+		}
+	}
+	p.unlisted = unlisted
+}
+
 // countsMemory reports whether what requests occupy is counted.
 func (s *pool) countsMemory() bool { return s.limitedMemory || s.reportsSpeed }
 
--- a/core/sqplace/sqplace.go
+++ b/core/sqplace/sqplace.go
@@ -222,8 +222,11 @@
 // Placer holds one gateway's state of all endpoints and chooses among them. It is
 // not safe for concurrent use.
 type Placer struct {
-	cfg         Config
-	nodes       map[string]*node
+	cfg   Config
+	nodes map[string]*node
+	// unlisted holds the endpoints of services whose memory is counted that are not listed
+	// any more while requests of this gateway run there. The list may lack them for a moment.
+	unlisted    map[string]*node
 	services    map[string]*pool
 	randomState uint64
 	// cacheUpdates holds the updates that were not sent to other gateways yet.
@@ -266,7 +269,7 @@
 // New returns a placer without endpoints.
 func New(cfg Config) *Placer {
 	return &Placer{
-		cfg: cfg, nodes: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
+		cfg: cfg, nodes: map[string]*node{}, unlisted: map[string]*node{}, services: map[string]*pool{}, randomState: cfg.Seed, departures: sqdeparture.NewLog(),
 		limits: sqlimit.NewKeeper(), refusals: map[string]time.Time{}, list: &listAge{limit: cfg.MaxListAge},
 		speeds: newSpeedState(), gateways: 1,
 	}
@@ -280,7 +283,7 @@
 		s.nodes = nil
 	}
 	for _, e := range list {
-		n := p.nodes[e.ID()]
+		n := p.knownNode(e.ID())
 		if n == nil {
 			n = newNode(p.list)
 			n.leaving, n.refusesUntil = p.departures.Contains(e.ID()), p.refusals[e.ID()]
@@ -290,6 +293,7 @@
 		s := p.pool(e.Service())
 		s.nodes = append(s.nodes, n)
 	}
+	p.keepUnlisted(nodes)
 	p.nodes = nodes
 }
 
@@ -316,6 +320,11 @@
 			loads[id] = n.local
 		}
 	}
+	for id, n := range p.unlisted {
+		if n.local != (Load{}) {
+			loads[id] = n.local
+		}
+	}
 	return loads
 }
 
--- a/core/sqplace/weigh.go
+++ b/core/sqplace/weigh.go
@@ -209,10 +209,11 @@
 		}
 		c, memory := n.residentAt(), s.memory()
 		if u.PrefixHash != 0 {
-			c.use(prefixHash(u.PrefixHash), u.Tokens, memory)
+			c.use(prefixHash(u.PrefixHash), min(u.Tokens, memory), memory)
 		}
-		c.insert(u.SuffixTokens, memory)
-		received[s] += u.SuffixTokens
+		suffix := min(u.SuffixTokens, memory)
+		c.insert(suffix, memory)
+		received[s] += suffix
 	}
 	for _, s := range p.services {
 		if s.weighs() {
