Placement: peers' memory stays reserved until a new lease holder knows the gateways

In the first 2 s of a term the holder's sums lack the gateways that it has not heard from. Gateways took them as they were, so that where endpoints' memory is limited, memory in use was given out again. While the response names no number of gateways, the higher one of the old and the new sum counts now. Where memory is not limited nothing changes. TestPeerMemoryAtNewHolder fails without it.

--- a/app/sqgateway/view.go
+++ b/app/sqgateway/view.go
@@ -119,7 +119,12 @@
 	g.mu.Lock()
 	g.retryBudget.SetGateways(v.gatewayCount)
 	g.placer.SetGateways(v.gatewayCount)
-	g.placer.SetPeerLoads(g.applyLoadSum(receivedAt, res))
+	if loads := g.applyLoadSum(receivedAt, res); res.GetGatewayCount() == 0 {
+		// The lease holder has not heard from all gateways yet.
+		g.placer.AddPeerLoads(loads)
+	} else {
+		g.placer.SetPeerLoads(loads)
+	}
 	g.evidence.Acknowledge(receivedAt, old.leaseHolder, res.GetHolder())
 	g.mu.Unlock()
 	g.storeView(&v)
--- a/core/sqplace/occupancy.go
+++ b/core/sqplace/occupancy.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// AddPeerLoads records loads that may lack gateways, since the lease holder is new. What is
+// known to occupy the memory of endpoints stays reserved until SetPeerLoads is called.
+func (p *Placer) AddPeerLoads(loads map[string]Load) {
+	for id, n := range p.nodes {
+		old := n.remote
+		n.remote, n.localAtSum = loads[id], n.local
+		if p.cfg.LimitedMemory {
+			n.remote.MemoryTokens = max(old.MemoryTokens, n.remote.MemoryTokens)
+			n.remote.BodyBytes = max(old.BodyBytes, n.remote.BodyBytes)
+		}
+	}
+}
+
 // knownNode returns the state of an endpoint that is listed, or was while requests of this
 // gateway run there, or nil.
 func (p *Placer) knownNode(id string) *node {
--- a/core/sqplace/unlisted_test.go
+++ b/core/sqplace/unlisted_test.go
@@ -35,3 +35,18 @@
 	m := &p.services["engines"].residency
 	assert.Assert(t, m.othersRate <= othersRateWeight*400_000, "%v", m.othersRate)
 }
+
+// TestPeerMemoryAtNewHolder guards against memory that is given out twice because a new lease
+// holder has not heard yet from the gateways that use it, and against memory that stays
+// reserved after that.
+func TestPeerMemoryAtNewHolder(t *testing.T) {
+	p := limitedPlacer(t, 0)
+	q := engineQuery("s", 13_000, 4000)
+	full := map[string]Load{"d1": {Running: 3, MemoryTokens: 395_000}}
+	p.SetPeerLoads(full)
+	p.AddPeerLoads(nil)
+	p.AddPeerLoads(map[string]Load{"d1": {Running: 1, MemoryTokens: 1000}})
+	assert.Assert(t, p.Choose(start, q).Endpoint == nil)
+	p.SetPeerLoads(nil)
+	assert.Assert(t, p.Choose(start, q).Endpoint != nil)
+}
