Placement: absurd numbers of requests in a load report are bounded

A number from about 10^12 on overflowed the expected wait for a slot, which became negative: the endpoint got all requests. TestAbsurdLoadReport fails without the change.

--- a/core/sqplace/node.go
+++ b/core/sqplace/node.go
@@ -10,6 +10,9 @@
 const (
 	// reportMaxAge is how long an endpoint's own load report is used.
 	reportMaxAge = 400 * time.Millisecond
+	// maxReportedRequests bounds the number of requests in a load report, so that the
+	// waits that follow from it do not overflow.
+	maxReportedRequests = 1 << 20
 	// failureRateWeight is the weight of the newest outcome in the failure rate.
 	failureRateWeight = 0.1
 	// initialSuspectTime is how long an endpoint gets no requests after a failed
@@ -106,6 +109,7 @@
 	if n == nil {
 		return
 	}
+	load.Running, load.Queued = min(load.Running, maxReportedRequests), min(load.Queued, maxReportedRequests)
 	n.reported, n.reportedUntil, n.localAtReport = load, now.Add(reportMaxAge), n.local.Running
 	if load.Slots > 0 {
 		n.endpoint.cfg.Slots = load.Slots
