Placement: absurd lengths of prompts are bounded

The length that a caller claims overflowed the expected time to a negative one: the request was sent, and its endpoint looked free to all others while it was in flight. TestAbsurdPromptLength fails without the change.

--- a/core/sqplace/claims_test.go
+++ b/core/sqplace/claims_test.go
@@ -57,3 +57,25 @@
 	}
 	assert.Assert(t, len(n.resident.uses) <= 10_000, "%d", len(n.resident.uses))
 }
+
+// TestAbsurdPromptLength guards against a prompt whose claimed length overflows the expected
+// time, so that its endpoint looks free, or is in use, for all others.
+func TestAbsurdPromptLength(t *testing.T) {
+	for _, tokens := range []int{1 << 40, 1e15, math.MaxInt} {
+		p := New(Config{Zone: "a", Seed: 1})
+		p.SetServices(testServices(t))
+		d1 := engineEndpoint("d1", Decode)
+		p.SetEndpoints([]Endpoint{d1, engineEndpoint("d2", Decode)})
+		absurd := engineQuery("x", 0, tokens)
+		assert.Assert(t, p.Choose(start, absurd).Endpoint == nil, "%d", tokens)
+		d := p.StartDispatch(start, &d1, absurd, tokens, time.Second)
+		e := p.StartDispatch(start, &d1, absurd, tokens, time.Second)
+		for range 20 {
+			c := p.Choose(start, engineQuery("s", 1000, 100))
+			assert.Assert(t, c.Endpoint != nil && c.Endpoint.ID() == "d2", "%d", tokens)
+		}
+		d.Abandon()
+		e.Abandon()
+		assert.Equal(t, len(p.OwnLoads()), 0)
+	}
+}
--- a/core/sqplace/dispatch.go
+++ b/core/sqplace/dispatch.go
@@ -31,6 +31,7 @@
 		n = newNode(p.list)
 	}
 	s := p.pool(q.Service)
+	uncached = min(uncached, maxMemoryTokens)
 	if n.local.PrefillTokens+n.remote.PrefillTokens > 0 || s.slotWait(now, n) > 0 || p.roomWait(s, &request{Query: q}, n) > 0 {
 		// A wait for other requests says nothing about the engine's speed.
 		expected = 0
--- a/core/sqplace/estimate.go
+++ b/core/sqplace/estimate.go
@@ -106,9 +106,10 @@
 	return decodeTokensPerMilli
 }
 
-// prefillTime returns how long an engine of the stage takes to prefill tokens.
+// prefillTime returns how long an engine of the stage takes to prefill tokens. Their number
+// may be a caller's claim; it is bounded, so that sums of times do not overflow.
 func (s *pool) prefillTime(tokens int, stage Stage) time.Duration {
-	return time.Duration(float64(tokens) / tokensPerMilli(stage) * s.latencyRatio[stage] * float64(time.Millisecond))
+	return time.Duration(float64(min(tokens, maxMemoryTokens)) / tokensPerMilli(stage) * s.latencyRatio[stage] * float64(time.Millisecond))
 }
 
 // slotWait returns how long a request waits for a free slot.
@@ -144,7 +145,7 @@
 	if s.engine.LinkMbps <= 0 {
 		return transferOverhead
 	}
-	seconds := float64(p.Tokens) * float64(s.engine.KVBytesPerToken) * bitsPerByte / (s.engine.LinkMbps * mega)
+	seconds := float64(min(p.Tokens, maxMemoryTokens)) * float64(s.engine.KVBytesPerToken) * bitsPerByte / (s.engine.LinkMbps * mega)
 	return transferOverhead + time.Duration(seconds*float64(time.Second))
 }
 
