--- a/core/sqplace/dispatch.go
+++ b/core/sqplace/dispatch.go
@@ -91,12 +91,7 @@
 	if r.ended {
 		return
 	}
-	if !r.hasFirstToken {
-		r.node.local.PrefillTokens -= r.prefillTokens
-	}
-	r.ended = true
-	r.node.local.Running--
-	r.reservation.release(r.node)
+	r.giveBack()
 	r.node.recordOutcome(now, ok, reached)
 	if ok {
 		r.pool.updateMeanDuration(r.node.usual(now, now.Sub(r.startedAt)))
@@ -111,6 +106,11 @@
 	if r.ended {
 		return
 	}
+	r.giveBack()
+}
+
+// giveBack subtracts what the request has occupied from the endpoint's load, at its end.
+func (r *Dispatch) giveBack() {
 	if !r.hasFirstToken {
 		r.node.local.PrefillTokens -= r.prefillTokens
 	}
