Arrivals above the service rate are not taken to last forever

Cause: drainWait in core/sqadmit was infinite as soon as the measured arrival rate crossed the measured service rate, for however short a time. A request late for its first token was then refused at once with 15 s left, although the pool had had room a second before. Change: an overload is expected to last as long again as the pool has had no room for a request on arrival, and the queue then to start at the rate that the pool started lately (time constant 30 s) or its service rate, whichever is higher. drainWait is at most the sum of both. A lasting overload still exceeds any deadline, and a high one sooner, by its queue. Measured, core/sqadmit: TestShortDipOfCapacityRefusesNothing and TestSlowStartRefusesNothing pass (before: 1 and 18 refused in dips of 1 and 3 s; 13 refused in the slow start). TestOverloadRefusesEarly, 2 runs each: both pass before and after, refused after 0.4 ms (p50) before and after, p90 718 and 459 ms before, 391 and 528 ms after. BenchmarkAdmit 219 to 238 ns before, 287 to 362 ns after (2 runs each, beside load). TestRoleChangesFailNoRequest beside 6 busy processes: before 2 of 12 red (deadlineUnmeetable once in each; load average 18 and 43; the second also lost requests to endpointFailed and staleEntry); after 2 of 8 red, two of the green ones without the rule for pools that had no room yet (load average 40: deadlineUnmeetable once; 38: callUnknown, staleEntry, deadlineExceeded and overLimit, none deadlineUnmeetable).

--- a/core/sqadmit/arrivalrate.go
+++ b/core/sqadmit/arrivalrate.go
@@ -41,7 +41,9 @@
 
 // drainWait returns the expected seconds until the flow has started all requests
 // that are not late, if its queue takes wait seconds now and requests keep
-// arriving at the current rate.
+// arriving at the current rate. The rates are measured over a few seconds and can
+// cross while engines change their roles, so that arrivals above the service rate
+// are not taken to last forever: see overloadWait.
 func (f *FairQueue) drainWait(now time.Time, fl *flow, wait float64) float64 {
 	rate := f.flowServiceRate(fl)
 	if rate <= 0 {
@@ -49,9 +51,24 @@
 	}
 	idleFraction := 1 - fl.arrivalRate.perSecond(now)/rate
 	if idleFraction <= 0 {
+		return f.overloadWait(now, fl)
+	}
+	return min(wait/idleFraction, f.overloadWait(now, fl))
+}
+
+// overloadWait returns the expected seconds until the flow has started all
+// requests that are queued now, if an overload is expected to last as long again
+// as the pool has had no room for a new request, and the pool then starts as much
+// per second as it did lately. Under a lasting overload this exceeds any deadline.
+// It is infinite for a pool that no request has been offered to.
+func (f *FairQueue) overloadWait(now time.Time, fl *flow) float64 {
+	p := fl.pool
+	if p.hadRoomAt.IsZero() {
 		return math.Inf(1)
 	}
-	return wait / idleFraction
+	overload := max(0, now.Sub(p.hadRoomAt).Seconds())
+	rate := max(p.serviceRate.perSecond(), p.startedRate.perSecond(now)) * fl.weightFraction()
+	return overload + max(0, fl.queuedCost+fl.costAhead())/rate
 }
 
 // wouldMissDeadline reports whether a queued request that is late for StartBy
--- a/core/sqadmit/capacitydip_test.go
+++ b/core/sqadmit/capacitydip_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// TestSlowStartRefusesNothing guards against taking the low capacity of a pool
+// whose engines become ready one after another for a lasting overload.
+func TestSlowStartRefusesNothing(t *testing.T) {
+	refusedWaits := runWithCapacity(7, 20*time.Second, func(at time.Duration) int {
+		switch {
+		case at < 500*time.Millisecond:
+			return 0
+		case at < 2500*time.Millisecond:
+			return 2
+		}
+		return 10
+	})
+	assert.Equal(t, len(refusedWaits), 0, "refused after %v", refusedWaits)
+}
+
 // TestLastingOverloadIsRefusedOnArrival guards against queueing requests with long
 // deadlines that a pool at three times its capacity cannot serve.
 func TestLastingOverloadIsRefusedOnArrival(t *testing.T) {
--- a/core/sqadmit/fair.go
+++ b/core/sqadmit/fair.go
@@ -160,6 +160,7 @@
 	t.bucketTokens -= r.request.rateTokens()
 	t.running++
 	p.running++
+	p.startedRate.add(now, r.cost)
 	p.prefillTokens += r.request.prefillTokens()
 	r.running = true
 	r.startedAt = now
--- a/core/sqadmit/limit.go
+++ b/core/sqadmit/limit.go
@@ -91,6 +91,12 @@
 // flowServiceRate returns the cost per second that the pool starts for the flow
 // as long as all flows that are active now stay active, or 0 if it is not known.
 func (f *FairQueue) flowServiceRate(fl *flow) float64 {
+	return fl.pool.serviceRate.perSecond() * fl.weightFraction()
+}
+
+// weightFraction returns the flow's weight as a fraction of the weights of all
+// flows that are active now, the flow itself included.
+func (fl *flow) weightFraction() float64 {
 	weight := fl.team.cfg.Weight
 	totalWeight := weight
 	for _, other := range fl.pool.active {
@@ -98,7 +104,7 @@
 			totalWeight += other.team.cfg.Weight
 		}
 	}
-	return fl.pool.serviceRate.perSecond() * weight / totalWeight
+	return weight / totalWeight
 }
 
 // maxExactQueue is the longest queue for which costBefore compares each request;
--- a/core/sqadmit/offer.go
+++ b/core/sqadmit/offer.go
@@ -11,10 +11,14 @@
 	fl := f.flowFor(now, req)
 	t, p := fl.team, fl.pool
 	f.refillBucket(now, t)
+	if p.hadRoomAt.IsZero() {
+		p.hadRoomAt = now
+	}
 	fl.arrivalRate.add(now, f.requestCost(req.prefillTokens(), req.cfg.OutputTokens))
 	if len(p.active) == 0 && len(fl.queue) == 0 && p.hasCapacity(req) && f.withinLimits(t, req) {
 		r := f.newRequestState(req, fl)
 		fl.updateStartTag()
+		p.hadRoomAt = now
 		d := Decision{id: req.ID(), action: Run, reason: reasonPoolCapacity,
 			actual: float64(p.running), limit: float64(p.limits.MaxRunning)}
 		f.dispatch(now, r)
--- a/core/sqadmit/state.go
+++ b/core/sqadmit/state.go
@@ -79,6 +79,10 @@
 	// active holds the flows with queued requests that are not parked.
 	active      flowHeap
 	serviceRate serviceRate
+	startedRate startedRate
+	// hadRoomAt is when a request last started on arrival, or when the pool's first
+	// request arrived if none has.
+	hadRoomAt time.Time
 }
 
 func (p *pool) hasCapacity(req *Request) bool {
