--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -1,6 +1,9 @@
 package sqplace
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minRemotePrefillTokens is the minimum prompt length that is worth a KV cache
