Placement: one harness for the simulated loads of tests

The tests of prefixes, load exchange, connections, zones, speeds and weighed placement each had gateways, exchanges and events of their own. They share simulation_test.go now and name only their load and their check. Gateways of TestPrefixPlacementBeatsRoundRobin exchange loads too, as those of the other tests do.

--- a/core/sqplace/connection_test.go
+++ b/core/sqplace/connection_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -79,45 +78,28 @@
 // simulateConnections plays so many requests per millisecond at random gateways. In the
 // middle, a fifth of the endpoints closes all idle connections without notice.
 func simulateConnections(t *testing.T, perMilli float64, count bool) (result connResult) {
-	rng := rand.New(rand.NewPCG(1, 2))
-	var fleet []Endpoint
+	fleet := simFleet(connEndpoints, func(i int) Endpoint { return plainEndpoint(fmt.Sprint("l", i), "a") })
 	endpoints := map[string]*simEndpoint{}
-	for i := range connEndpoints {
-		fleet = append(fleet, plainEndpoint(fmt.Sprint("l", i), "a"))
-		endpoints[fleet[i].ID()] = &simEndpoint{slotFree: make([]int, connSlots), idle: make([][]int, connGateways)}
+	for _, e := range fleet {
+		endpoints[e.ID()] = &simEndpoint{slotFree: make([]int, connSlots), idle: make([][]int, connGateways)}
 	}
-	gateways := make([]*Placer, connGateways)
-	for i := range gateways {
-		gateways[i] = newPlacer(t, fleet...)
-		gateways[i].randomState = uint64(i)
-	}
-	type finish struct {
-		gateway  int
-		endpoint string
-		dispatch *Dispatch
-	}
-	finishes := map[int][]finish{}
+	s := newSim(t, 1, 2, connGateways, fleet...)
 	var latencies []int
 	sends, opened, due := 0, 0, 0.0
 	for milli := range connSeconds * 1000 {
 		now := start.Add(time.Duration(milli) * time.Millisecond)
-		for _, f := range finishes[milli] {
-			f.dispatch.Finish(now, true, true)
-			e := endpoints[f.endpoint]
-			e.idle[f.gateway] = append(e.idle[f.gateway], milli)
-			gateways[f.gateway].SetConnection(f.endpoint, Connection{IdleSince: now, UsableUntil: now.Add(connIdleTime)})
-		}
+		s.advance(now)
 		if milli%300 == 0 {
-			exchangeLoads(gateways)
+			s.exchangeLoads(s.gateways...)
 			for i := range fleet {
 				endpoints[fleet[i].ID()].expire(milli, milli == connSeconds*500/300*300 && i%5 == 0)
 			}
 		}
 		for due += perMilli; due >= 1; due-- {
-			g := rng.IntN(connGateways)
+			g := s.random.IntN(connGateways)
 			q := plainQuery()
 			q.CountConnections = count
-			c := gateways[g].Choose(now, q)
+			c := s.gateways[g].Choose(now, q)
 			e, setup := endpoints[c.Endpoint.ID()], 0
 			sends++
 			if n := len(e.idle[g]); n > 0 && milli-e.idle[g][n-1] < int(connIdleTime.Milliseconds()) {
@@ -132,10 +114,15 @@
 				last = Connection{IdleSince: start.Add(time.Duration(e.idle[g][n-1]) * time.Millisecond)}
 				last.UsableUntil = last.IdleSince.Add(connIdleTime)
 			}
-			gateways[g].SetConnection(c.Endpoint.ID(), last)
-			done := e.run(milli+setup, connServeTime/2+rng.IntN(connServeTime))
+			s.gateways[g].SetConnection(c.Endpoint.ID(), last)
+			done := e.run(milli+setup, connServeTime/2+s.random.IntN(connServeTime))
 			latencies = append(latencies, done-milli)
-			finishes[done] = append(finishes[done], finish{g, c.Endpoint.ID(), gateways[g].StartDispatch(now, c.Endpoint, q, 0, 0)})
+			d := s.gateways[g].StartDispatch(now, c.Endpoint, q, 0, 0)
+			s.after(start.Add(time.Duration(done)*time.Millisecond), func(at time.Time) {
+				d.Finish(at, true, true)
+				e.idle[g] = append(e.idle[g], done)
+				s.gateways[g].SetConnection(c.Endpoint.ID(), Connection{IdleSince: at, UsableUntil: at.Add(connIdleTime)})
+			})
 		}
 	}
 	slices.Sort(latencies)
@@ -164,24 +151,6 @@
 	}
 }
 
-// exchangeLoads gives each gateway the loads of all others.
-func exchangeLoads(gateways []*Placer) {
-	sum := map[string]Load{}
-	for _, p := range gateways {
-		for id, l := range p.OwnLoads() {
-			sum[id] = Load{Running: sum[id].Running + l.Running, PrefillTokens: sum[id].PrefillTokens + l.PrefillTokens}
-		}
-	}
-	for _, p := range gateways {
-		others := make(map[string]Load, len(sum))
-		own := p.OwnLoads()
-		for id, l := range sum {
-			others[id] = Load{Running: l.Running - own[id].Running, PrefillTokens: l.PrefillTokens - own[id].PrefillTokens}
-		}
-		p.SetPeerLoads(others)
-	}
-}
-
 // TestConnectionsAreReused fails if counting open connections does not at least halve the
 // new ones of a load from many gateways to few endpoints, or if answers take longer, at a
 // seventh and at two thirds of what the endpoints can serve.
@@ -201,11 +170,7 @@
 func BenchmarkChooseConnected(b *testing.B) {
 	for _, count := range []bool{false, true} {
 		b.Run(fmt.Sprint("count=", count), func(b *testing.B) {
-			var fleet []Endpoint
-			for i := range 130 {
-				fleet = append(fleet, plainEndpoint(fmt.Sprint("l", i), "a"))
-			}
-			p := newPlacer(b, fleet...)
+			p := newPlacer(b, simFleet(130, func(i int) Endpoint { return plainEndpoint(fmt.Sprint("l", i), "a") })...)
 			for i := range 65 {
 				p.SetConnection(fmt.Sprint("l", 2*i), Connection{IdleSince: start, UsableUntil: start.Add(time.Second)})
 			}
--- a/core/sqplace/load_test.go
+++ b/core/sqplace/load_test.go
@@ -2,122 +2,87 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 )
 
-// The simulated load: many gateways that exchange updates with a delay, engines
-// whose caches hold only some of the shared parts each, and long prompts that mostly
-// repeat. The numbers are those of an assistant that reads catalogues.
+// The simulated loads: many gateways that exchange updates with a delay, engines whose caches
+// hold only some of the shared parts each, and long prompts that mostly repeat. The numbers
+// are those of an assistant that reads catalogues.
 const (
-	loadGateways    = 8
-	loadEngines     = 8
-	loadSharedParts = 150
-	loadPerSecond   = 23
-	loadSeconds     = 60
-	// loadWarmupSeconds is the time after which requests count. Before it, most parts
-	// are prefilled for the first time, which no placement can avoid.
-	loadWarmupSeconds = 20
-	loadSharedTokens  = 13_000
-	loadSuffixTokens  = 3700
-	// exchangeInterval is the time between two exchanges of cache updates.
-	exchangeInterval = 300 * time.Millisecond
+	loadGateways     = 8
+	loadEngines      = 8
+	loadSharedParts  = 150
+	loadPerSecond    = 23
+	loadSharedTokens = 13_000
+	loadSuffixTokens = 3700
 	// firstTokenObjective is the time within which the first token shall arrive for
 	// minOnTimePercent of the requests: the users' requirement at the size that they
 	// grow to.
 	firstTokenObjective = 720 * time.Millisecond
 	minOnTimePercent    = 95
+	// shortPerLoadSecond is how many short prompts share the engines with the long ones, and
+	// shortPromptTarget the time within which one shall be prefilled.
+	shortPerLoadSecond = 185
+	shortPromptTarget  = 150 * time.Millisecond
 )
 
-// simEngine simulates an engine that prefills prompts one after the other and caches
-// the most recently used prefixes.
-type simEngine struct {
-	freeAt time.Time
-	cache  *prefixCache
+// newLoadSim returns prefill engines and one for the decode stage, which is not simulated.
+func newLoadSim(t *testing.T, seed1, seed2 uint64) *sim {
+	fleet := simFleet(loadEngines, func(i int) Endpoint { return engineEndpoint(fmt.Sprint("p", i), Prefill) })
+	s := newSim(t, seed1, seed2, loadGateways, append(fleet, engineEndpoint("d0", Decode))...)
+	delete(s.engines, "d0")
+	return s
 }
 
-// prefill returns when the engine has processed a prompt that arrives at now, and how
-// many of its tokens were not cached.
-func (e *simEngine) prefill(now time.Time, q *Query) (done time.Time, uncached int) {
-	hashes, lengths := prefixHashes(&q.Prompt)
-	uncached = q.Prompt.Tokens - e.cache.cachedTokens(hashes, lengths)
-	e.cache.touch(now, hashes[0], loadSharedTokens, 300_000)
-	startAt := now
-	if e.freeAt.After(now) {
-		startAt = e.freeAt
-	}
-	e.freeAt = startAt.Add(time.Duration(float64(uncached) / prefillTokensPerMilli * float64(time.Millisecond)))
-	return e.freeAt, uncached
-}
-
-// simulate returns the share of requests on time and the number of prefilled tokens;
-// choose returns the engine for a request that arrives at a gateway.
-func simulate(choose func(now time.Time, gateway int, q *Query) string) (onTime float64, prefilled int) {
-	random := rand.New(rand.NewPCG(1, 2))
-	engines := map[string]*simEngine{}
-	for i := range loadEngines {
-		engines[fmt.Sprintf("p%d", i)] = &simEngine{cache: newPrefixCache()}
-	}
-	met, total := 0, loadPerSecond*loadSeconds
-	for n := range total {
-		now := start.Add(time.Duration(n) * time.Second / loadPerSecond)
-		gateway := random.IntN(loadGateways)
-		q := engineQuery(fmt.Sprintf("s%d", random.IntN(loadSharedParts)), loadSharedTokens, loadSuffixTokens)
-		done, uncached := engines[choose(now, gateway, q)].prefill(now, q)
-		prefilled += uncached
-		if n >= loadWarmupSeconds*loadPerSecond && done.Sub(now) <= firstTokenObjective {
-			met++
-		}
-	}
-	return float64(met) / float64(total-loadWarmupSeconds*loadPerSecond), prefilled
+func (s *sim) longPrompt() *Query {
+	return engineQuery(fmt.Sprint("s", s.random.IntN(loadSharedParts)), loadSharedTokens, loadSuffixTokens)
 }
 
 // TestPrefixPlacementBeatsRoundRobin checks that placement by cached prefixes prefills
 // fewer than half of the tokens that round robin does, and serves more requests on
 // time.
 func TestPrefixPlacementBeatsRoundRobin(t *testing.T) {
-	fleet := []Endpoint{engineEndpoint("d0", Decode)}
-	for i := range loadEngines {
-		fleet = append(fleet, engineEndpoint(fmt.Sprintf("p%d", i), Prefill))
-	}
-	gateways := make([]*Placer, loadGateways)
-	for i := range gateways {
-		gateways[i] = newPlacer(t, fleet...)
-		gateways[i].randomState = uint64(i)
+	play := func(choose func() Choice) (onTime float64, prefilled int) {
+		s := newLoadSim(t, 1, 2)
+		// Before the end of the warm-up, most parts are prefilled for the first time, which no
+		// placement can avoid.
+		return s.play(simLoad{perSecond: loadPerSecond, seconds: 60, warmupSeconds: 20, exchangeEvery: 300 * time.Millisecond, choose: choose,
+			request: func(int) (*Query, time.Duration) { return s.longPrompt(), firstTokenObjective }})
 	}
-	inFlight := make([][]prefillInFlight, loadGateways)
-	lastExchange := start
-	choose := func(now time.Time, gateway int, q *Query) string {
-		for i, p := range gateways {
-			inFlight[i] = finishPrefills(inFlight[i], now)
-			if now.Sub(lastExchange) >= exchangeInterval {
-				updates := p.TakeCacheUpdates()
-				for j := range gateways {
-					if j != i {
-						gateways[j].ApplyCacheUpdates(now, updates)
-					}
-				}
-			}
-		}
-		if now.Sub(lastExchange) >= exchangeInterval {
-			lastExchange = now
-		}
-		c := gateways[gateway].Choose(now, q)
-		request := gateways[gateway].StartDispatch(now, c.PrefillEndpoint, q, c.PrefillUncachedTokens, c.PrefillLatency)
-		inFlight[gateway] = append(inFlight[gateway], prefillInFlight{request, now.Add(c.PrefillLatency)})
-		return c.PrefillEndpoint.ID()
-	}
-	onTime, prefilled := simulate(choose)
-
+	onTime, prefilled := play(nil)
 	next := 0
-	baseOnTime, basePrefilled := simulate(func(time.Time, int, *Query) string {
+	baseOnTime, basePrefilled := play(func() Choice {
 		next++
-		return fmt.Sprintf("p%d", next%loadEngines)
+		e := engineEndpoint(fmt.Sprint("p", next%loadEngines), Prefill)
+		return Choice{PrefillEndpoint: &e}
 	})
 	t.Logf("on time %.3f, round robin %.3f; tokens prefilled %d, round robin %d", onTime, baseOnTime, prefilled, basePrefilled)
 	assert.Assert(t, prefilled*2 < basePrefilled)
 	assert.Assert(t, onTime > baseOnTime && onTime*100 >= minOnTimePercent)
 }
+
+// TestFasterLoadExchangeHelps guards against short prompts that wait behind long
+// prompts of which their gateway does not know yet: with a shorter exchange period,
+// more short prompts must be prefilled in time.
+func TestFasterLoadExchangeHelps(t *testing.T) {
+	onTime := func(exchangeEvery time.Duration) float64 {
+		s := newLoadSim(t, 3, 4)
+		const perSecond = shortPerLoadSecond + loadPerSecond
+		share, _ := s.play(simLoad{perSecond: perSecond, seconds: 30, exchangeEvery: exchangeEvery, request: func(int) (*Query, time.Duration) {
+			q := s.longPrompt()
+			if s.random.IntN(perSecond) < loadPerSecond {
+				return q, 0
+			}
+			q = engineQuery("greeting", 92, 291)
+			q.Urgent = true
+			return q, shortPromptTarget
+		}})
+		return share
+	}
+	slow, fast := onTime(200*time.Millisecond), onTime(100*time.Millisecond)
+	t.Logf("short prompts prefilled in time: %.3f with exchange every 0.2 s, %.3f with 0.1 s", slow, fast)
+	assert.Assert(t, fast > slow)
+}
--- a/core/sqplace/speed_test.go
+++ b/core/sqplace/speed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,51 +14,19 @@
 // speedSim simulates many gateways, each of which hears from an engine once in many
 // seconds, and engines of different speed that are 2.5 times as slow for moments.
 type speedSim struct {
-	random   *rand.Rand
-	gateways []*Placer
-	engines  map[string]*simEngine
-	inFlight [][]prefillInFlight
-	holder   *sqspeed.Merger
+	*sim
+	holder *sqspeed.Merger
 	// lossPercent of the heartbeats lose what they report and get of speeds.
 	lossPercent int
 }
 
-const (
-	speedGateways, speedEngines  = 40, 12
-	speedPerSecond, speedSeconds = 60, 40
-	speedTokens                  = 1600
-	speedObjective               = 500 * time.Millisecond
-)
-
-func newSpeedSim(t *testing.T, seed uint64) *speedSim {
-	s := &speedSim{random: rand.New(rand.NewPCG(5, seed)), inFlight: make([][]prefillInFlight, speedGateways),
-		holder: sqspeed.NewMerger()}
-	for range speedGateways {
-		p := newPlacer(t)
-		p.randomState = s.random.Uint64()
-		s.gateways = append(s.gateways, p)
-	}
-	s.list("")
-	return s
-}
-
-// list lists the engines; those of an earlier list have restarted.
-func (s *speedSim) list(run string) {
-	s.engines = map[string]*simEngine{}
-	var fleet []Endpoint
-	for i := range speedEngines {
-		e := engineEndpoint(fmt.Sprint(string(rune('a'+i)), run), Decode)
-		fleet = append(fleet, e)
-		s.engines[e.ID()] = &simEngine{}
-	}
-	for _, p := range s.gateways {
-		p.SetEndpoints(fleet)
-	}
+func speedFleet(run string) []Endpoint {
+	return simFleet(12, func(i int) Endpoint { return engineEndpoint(string(rune('a'+i))+run, Decode) })
 }
 
-// percent returns the figure of an engine: the usual one, and 2.5 times as much for one
+// speedPercent returns the figure of an engine: the usual one, and 2.5 times as much for one
 // fifth of the time, 0.4 s at once.
-func (s *speedSim) percent(now time.Time, id string) int {
+func speedPercent(now time.Time, id string) int {
 	const moment = 400 * time.Millisecond
 	percent := []int{60, 100, 160}[id[0]%3]
 	if (uint64(now.Sub(start)/moment)+uint64(id[0])*7)*0x9e3779b97f4a7c15>>32%5 == 0 {
@@ -68,46 +35,6 @@
 	return percent
 }
 
-// run sends requests and returns the share of those after the first seconds that were
-// prefilled too late. Event is called once in the middle.
-func (s *speedSim) run(reportSpeed bool, event func(s *speedSim)) float64 {
-	total, late := 0, 0
-	for n := range speedPerSecond * speedSeconds {
-		now := start.Add(time.Duration(n) * time.Second / speedPerSecond)
-		if n == speedPerSecond*speedSeconds/2 {
-			event(s)
-		}
-		for g := range s.gateways {
-			s.inFlight[g] = finishPrefills(s.inFlight[g], now)
-		}
-		if n%(speedPerSecond*3/10) == 0 {
-			exchangeUpdates(now, s.gateways)
-			s.exchangeSpeeds(now)
-		}
-		g := s.random.IntN(speedGateways)
-		p, q := s.gateways[g], engineQuery(fmt.Sprint(n), 1, speedTokens-1)
-		q.NoRemotePrefill = true
-		c := p.Choose(now, q)
-		e, percent := s.engines[c.Endpoint.ID()], s.percent(now, c.Endpoint.ID())
-		if now.After(e.freeAt) {
-			e.freeAt = now
-		}
-		e.freeAt = e.freeAt.Add(time.Duration(speedTokens*percent/100) * time.Millisecond / decodeTokensPerMilli)
-		request := p.StartDispatch(now, c.Endpoint, q, c.UncachedTokens, c.ExpectedLatency)
-		s.inFlight[g] = append(s.inFlight[g], prefillInFlight{request, e.freeAt})
-		if reportSpeed {
-			p.RecordLoadReport(now, c.Endpoint.ID(), sqattempt.LoadReport{Slots: 16, WorkPercent: percent})
-		}
-		if n >= speedPerSecond*5 {
-			total++
-			if e.freeAt.Sub(now) > speedObjective {
-				late++
-			}
-		}
-	}
-	return float64(late) / float64(total)
-}
-
 // exchangeSpeeds plays the heartbeats of all gateways.
 func (s *speedSim) exchangeSpeeds(now time.Time) {
 	for _, p := range s.gateways {
@@ -126,19 +53,37 @@
 	}
 }
 
+// shareLate plays the load and returns the share of late requests.
+func shareLate(t *testing.T, seed uint64, reportSpeed bool, event func(s *speedSim)) float64 {
+	s := &speedSim{sim: newSim(t, 5, seed, 40), holder: sqspeed.NewMerger()}
+	s.tokensPerMilli = decodeTokensPerMilli
+	for _, p := range s.gateways {
+		p.randomState = s.random.Uint64()
+	}
+	s.list(speedFleet(""))
+	onTime, _ := s.play(simLoad{perSecond: 60, seconds: 40, warmupSeconds: 5, exchangeEvery: 300 * time.Millisecond,
+		exchange: s.exchangeSpeeds, percent: speedPercent, reportSpeed: reportSpeed, halfTime: func() { event(s) },
+		request: func(n int) (*Query, time.Duration) {
+			q := engineQuery(fmt.Sprint(n), 1, 1599)
+			q.NoRemotePrefill = true
+			return q, 500 * time.Millisecond
+		}})
+	return 1 - onTime
+}
+
 // TestSpeedKeepsRequestsOnTime fails if placement by reported speeds does not serve clearly
 // fewer requests late than placement that ignores them, also with lost reports, a new lease
 // holder and restarted engines.
 func TestSpeedKeepsRequestsOnTime(t *testing.T) {
 	for name, event := range map[string]func(s *speedSim){
 		"reports arrive": func(*speedSim) {}, "half of the reports are lost": func(s *speedSim) { s.lossPercent = 50 },
-		"new holder": func(s *speedSim) { s.holder = sqspeed.NewMerger() }, "engines restart": func(s *speedSim) { s.list("b") },
+		"new holder": func(s *speedSim) { s.holder = sqspeed.NewMerger() }, "engines restart": func(s *speedSim) { s.list(speedFleet("b")) },
 	} {
 		late, lateIgnored := 0.0, 0.0
 		const seeds = 3
 		for seed := range uint64(seeds) {
-			late += newSpeedSim(t, seed).run(true, event) / seeds
-			lateIgnored += newSpeedSim(t, seed).run(false, event) / seeds
+			late += shareLate(t, seed, true, event) / seeds
+			lateIgnored += shareLate(t, seed, false, event) / seeds
 		}
 		t.Logf("%s: share late %.3f, %.3f with speeds ignored", name, late, lateIgnored)
 		assert.Assert(t, late < lateIgnored*0.8, name)
--- a/core/sqplace/weighload_test.go
+++ b/core/sqplace/weighload_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -27,7 +26,7 @@
 // ones at the same engines. In the table, declared is the engines' memory, if it is not memory.
 type mixedLoad struct {
 	engines, memory, declared, chunk, parts, output, lostPercent int
-	tokensPerMilli, longPerSecond                                float64
+	prefillRate, longPerSecond                                   float64
 	objective, restartEvery                                      time.Duration
 	seed                                                         uint64
 }
@@ -38,7 +37,7 @@
 	freeAt  time.Time
 	uses    []prefixHash
 	lengths map[prefixHash]int
-	running []mixedEvent
+	running []mixedRunning
 }
 
 func (e *mixedEngine) use(h prefixHash, tokens, memory int) (held bool) {
@@ -59,7 +58,7 @@
 // beside those that the engine holds.
 func (e *mixedEngine) run(now time.Time, r *mixedRun, q *Query) (first time.Time, uncached int, fits bool) {
 	size := q.memoryTokens()
-	e.running = slices.DeleteFunc(e.running, func(ev mixedEvent) bool { return !ev.at.After(now) })
+	e.running = slices.DeleteFunc(e.running, func(ev mixedRunning) bool { return !ev.at.After(now) })
 	for _, ev := range e.running {
 		size += ev.tokens
 	}
@@ -68,8 +67,8 @@
 		uncached -= lengths[0]
 	}
 	e.use(prefixHash(r.random.Uint64()), q.Prompt.Tokens-lengths[0], r.memory)
-	work := time.Duration(float64(uncached) / r.tokensPerMilli * (0.7 + 0.6*r.random.Float64()) * float64(time.Millisecond))
-	startAt, chunkEnd := e.freeAt, now.Add(time.Duration(float64(r.chunk)/r.tokensPerMilli)*time.Millisecond)
+	work := time.Duration(float64(uncached) / r.prefillRate * (0.7 + 0.6*r.random.Float64()) * float64(time.Millisecond))
+	startAt, chunkEnd := e.freeAt, now.Add(time.Duration(float64(r.chunk)/r.prefillRate)*time.Millisecond)
 	if q.Urgent && startAt.After(chunkEnd) {
 		startAt = chunkEnd
 	}
@@ -80,17 +79,14 @@
 		e.freeAt = now
 	}
 	first, e.freeAt = startAt.Add(work+3*time.Millisecond), e.freeAt.Add(work)
-	e.running = append(e.running, mixedEvent{at: first.Add(time.Duration(q.Prompt.MaxOutputTokens) * tokenTime), tokens: q.memoryTokens()})
+	e.running = append(e.running, mixedRunning{at: first.Add(time.Duration(q.Prompt.MaxOutputTokens) * tokenTime), tokens: q.memoryTokens()})
 	return first, uncached, size <= r.memory || len(e.running) == 1
 }
 
-// mixedEvent is a first token or an end of a dispatch, or a request that waits at a gateway.
-type mixedEvent struct {
-	at       time.Time
-	dispatch *Dispatch
-	end      bool
-	waiting  *mixedRequest
-	tokens   int
+// mixedRunning is a request that an engine holds until its end.
+type mixedRunning struct {
+	at     time.Time
+	tokens int
 	// metKind is 1 more than the kind of a request that counts as on time, or 0.
 	metKind int
 }
@@ -107,13 +103,11 @@
 // time, and the requests that were refused or sent to an engine that they did not fit into.
 type mixedRun struct {
 	mixedLoad
-	random    *rand.Rand
-	gateways  []*Placer
+	*sim
 	nextBeat  []time.Time
 	received  [][]CacheUpdate
 	ids       []string
-	engines   map[string]*mixedEngine
-	events    []mixedEvent
+	mixed     map[string]*mixedEngine
 	took      []time.Duration
 	sent, met [2]int
 	refused   int
@@ -126,7 +120,7 @@
 		{Name: "engines", Engine: &sqtable.Engine{Slots: 16, KVCapacityTokens: max(l.memory, l.declared), KVBytesPerToken: 1, LinkMbps: 1}},
 	}})
 	assert.NilError(t, err)
-	r := &mixedRun{mixedLoad: l, random: rand.New(rand.NewPCG(l.seed, 7)), engines: map[string]*mixedEngine{}, received: make([][]CacheUpdate, mixedGateways)}
+	r := &mixedRun{mixedLoad: l, sim: newSim(t, l.seed, 7, 0), mixed: map[string]*mixedEngine{}, received: make([][]CacheUpdate, mixedGateways)}
 	for i := range mixedGateways {
 		p := New(Config{Zone: "a", Seed: l.seed*100 + uint64(i), LimitedMemory: weighs})
 		p.SetServices(table.Services())
@@ -143,7 +137,7 @@
 
 func (r *mixedRun) restart(now time.Time, i int) {
 	r.ids[i] = fmt.Sprint("d", i, "-", now.UnixNano())
-	r.engines[r.ids[i]] = &mixedEngine{lengths: map[prefixHash]int{}}
+	r.mixed[r.ids[i]] = &mixedEngine{lengths: map[prefixHash]int{}}
 	var fleet []Endpoint
 	for _, id := range r.ids {
 		fleet = append(fleet, engineEndpoint(id, Decode))
@@ -160,43 +154,18 @@
 			continue
 		}
 		r.nextBeat[i] = r.nextBeat[i].Add(time.Second)
-		updates, sum := p.TakeCacheUpdates(), map[string]Load{}
-		for j, other := range r.gateways {
-			if j == i {
-				continue
-			}
-			if r.random.IntN(100) >= r.lostPercent {
+		updates := p.TakeCacheUpdates()
+		for j := range r.gateways {
+			if j != i && r.random.IntN(100) >= r.lostPercent {
 				r.received[j] = append(r.received[j], updates...)
 			}
-			for id, l := range other.OwnLoads() {
-				s := sum[id]
-				sum[id] = Load{s.Running + l.Running, s.PrefillTokens + l.PrefillTokens, s.MemoryTokens + l.MemoryTokens, 0}
-			}
 		}
-		p.SetPeerLoads(sum)
+		r.exchangeLoads(p)
 		p.ApplyCacheUpdates(now, r.received[i])
 		r.received[i] = nil
 	}
 }
 
-func (r *mixedRun) advance(now time.Time) {
-	events := r.events
-	r.events = nil
-	for _, e := range events {
-		switch {
-		case e.at.After(now):
-			r.events = append(r.events, e)
-		case e.waiting != nil:
-			r.send(now, e.waiting)
-		case e.end:
-			e.dispatch.Finish(e.at, true, true)
-		default:
-			e.dispatch.RecordFirstToken(e.at)
-		}
-	}
-	r.exchange(now)
-}
-
 func (r *mixedRun) request(now time.Time) *mixedRequest {
 	shared, own, output, parts, due := 13_300, 3720, r.output, r.parts, r.objective
 	urgent := r.random.Float64()*(r.longPerSecond+shortPerSecond) < shortPerSecond
@@ -217,6 +186,7 @@
 	for now := start; now.Before(start.Add(mixedDuration)); {
 		now = now.Add(time.Duration(r.random.ExpFloat64() / (r.longPerSecond + shortPerSecond) * float64(time.Second)))
 		r.advance(now)
+		r.exchange(now)
 		if r.restartEvery > 0 && now.After(restartAt) {
 			restartAt = restartAt.Add(r.restartEvery)
 			r.restart(now, r.random.IntN(len(r.ids)))
@@ -237,16 +207,17 @@
 	c := q.gateway.Choose(now, q.Query)
 	if c.Wait > 0 {
 		q.wait = q.gateway.StartRoomWait(q.Query)
-		r.events = append(r.events, mixedEvent{at: now.Add(c.Wait), waiting: q})
+		r.after(now.Add(c.Wait), func(time.Time) { r.send(r.now, q) })
 		return
 	}
 	took, fits, uncached := 2*q.due, true, 0
 	if c.Endpoint != nil {
 		var first time.Time
 		d := q.gateway.StartDispatch(now, c.Endpoint, q.Query, c.UncachedTokens, c.ExpectedLatency)
-		first, uncached, fits = r.engines[c.Endpoint.ID()].run(now, r, q.Query)
+		first, uncached, fits = r.mixed[c.Endpoint.ID()].run(now, r, q.Query)
 		end := first.Add(time.Duration(q.Prompt.MaxOutputTokens) * tokenTime)
-		r.events = append(r.events, mixedEvent{at: first, dispatch: d}, mixedEvent{at: end, dispatch: d, end: true})
+		r.after(first, d.RecordFirstToken)
+		r.after(end, func(at time.Time) { d.Finish(at, true, true) })
 		took = first.Sub(q.at)
 	}
 	if q.at.Sub(start) < mixedWarmup {
@@ -268,14 +239,14 @@
 		r.crash(now, c.Endpoint.ID())
 	case took <= q.due:
 		r.met[kind]++
-		running := r.engines[c.Endpoint.ID()].running
+		running := r.mixed[c.Endpoint.ID()].running
 		running[len(running)-1].metKind = kind + 1
 	}
 }
 
 // crash restarts an engine. The requests that it holds are lost.
 func (r *mixedRun) crash(now time.Time, id string) {
-	for _, e := range r.engines[id].running {
+	for _, e := range r.mixed[id].running {
 		if e.metKind > 0 {
 			r.met[e.metKind-1]--
 		}
@@ -294,8 +265,8 @@
 // serving callers worse than placement without them, on the same noisy arrivals.
 func TestWeighedPlacement(t *testing.T) {
 	engines := []mixedLoad{
-		{engines: 15, memory: 393_899, chunk: 4096, tokensPerMilli: 61, longPerSecond: 26.0 / 3, objective: 1200 * time.Millisecond},
-		{engines: 19, memory: 336_918, chunk: 1024, tokensPerMilli: 48, longPerSecond: 49.0 / 3, objective: 600 * time.Millisecond},
+		{engines: 15, memory: 393_899, chunk: 4096, prefillRate: 61, longPerSecond: 26.0 / 3, objective: 1200 * time.Millisecond},
+		{engines: 19, memory: 336_918, chunk: 1024, prefillRate: 48, longPerSecond: 49.0 / 3, objective: 600 * time.Millisecond},
 	}
 	for _, c := range []struct {
 		name   string
--- a/core/sqplace/zones_test.go
+++ b/core/sqplace/zones_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,9 +17,7 @@
 	zoneLowPerSecond  = 100
 	zoneEngines       = 3
 	zoneGateways      = 24
-	// zoneOneWay is the latency between two zones.
-	zoneOneWay    = 1150 * time.Microsecond
-	zoneObjective = 250 * time.Millisecond
+	zoneObjective     = 250 * time.Millisecond
 )
 
 // zoneResult is what a simulation saw, in percent of the requests.
@@ -28,38 +26,23 @@
 // simulateZones plays short prompts at the gateways of three zones. With ownZone, gateways
 // know only the engines of their zone.
 func simulateZones(t *testing.T, peak int, ownZone bool) zoneResult {
-	rng := rand.New(rand.NewPCG(1, 2))
-	var fleet []Endpoint
-	engines := map[string]*simEngine{}
-	for i := range 3 * zoneEngines {
-		id := fmt.Sprint("e", i)
-		fleet = append(fleet, NewEndpoint(EndpointConfig{ID: id, Service: "engines", Zone: zoneName(i), Slots: 16, Stage: Decode}))
-		engines[id] = &simEngine{cache: newPrefixCache()}
-	}
-	var gateways []*Placer
+	fleet := simFleet(3*zoneEngines, func(i int) Endpoint {
+		return NewEndpoint(EndpointConfig{ID: fmt.Sprint("e", i), Service: "engines", Zone: zoneName(i), Slots: 16, Stage: Decode})
+	})
+	s := newSim(t, 1, 2, 0, fleet...)
 	for i := range 3 * zoneGateways {
 		p := New(Config{Zone: zoneName(i), Seed: uint64(i)})
 		p.SetServices(testServices(t))
-		var known []Endpoint
-		for _, e := range fleet {
-			if !ownZone || e.Zone() == zoneName(i) {
-				known = append(known, e)
-			}
-		}
-		p.SetEndpoints(known)
-		gateways = append(gateways, p)
+		p.SetEndpoints(slices.DeleteFunc(slices.Clone(fleet), func(e Endpoint) bool { return ownZone && e.Zone() != zoneName(i) }))
+		s.gateways = append(s.gateways, p)
 	}
-	finishes := map[int][]func(now time.Time){}
 	var due [3]float64
 	total, onTime, other := 0, 0, 0
 	for milli := range 3 * zonePhaseSeconds * 1000 {
 		now := start.Add(time.Duration(milli) * time.Millisecond)
-		for _, finish := range finishes[milli] {
-			finish(now)
-		}
-		delete(finishes, milli)
+		s.advance(now)
 		if milli%300 == 0 {
-			exchangeLoads(gateways)
+			s.exchangeLoads(s.gateways...)
 		}
 		for zone := range due {
 			due[zone] += zoneLowPerSecond / 1000.0
@@ -67,28 +50,15 @@
 				due[zone] += float64(peak-zoneLowPerSecond) / 1000
 			}
 			for ; due[zone] >= 1; due[zone]-- {
-				p := gateways[zone+3*rng.IntN(zoneGateways)]
-				q := engineQuery(fmt.Sprint("s", rng.IntN(5)), 92, 291)
+				p := s.gateways[zone+3*s.random.IntN(zoneGateways)]
+				r := s.place(now, p, engineQuery(fmt.Sprint("s", s.random.IntN(5)), 92, 291), &simLoad{})
 				total++
-				c := p.Choose(now, q)
-				if c.Endpoint == nil {
-					continue
-				}
-				way := time.Duration(0)
-				if c.Endpoint.Zone() != p.cfg.Zone {
-					way, other = zoneOneWay, other+1
-				}
-				done, _ := engines[c.Endpoint.ID()].prefill(now.Add(way), q)
-				done = done.Add(way)
-				if done.Sub(now) <= zoneObjective {
+				if r.placed && r.took <= zoneObjective {
 					onTime++
 				}
-				d := p.StartDispatch(now, c.Endpoint, q, c.UncachedTokens, c.ExpectedLatency)
-				end := int(done.Sub(start).Milliseconds()) + 1
-				finishes[end] = append(finishes[end], func(now time.Time) {
-					d.RecordFirstToken(now)
-					d.Finish(now, true, true)
-				})
+				if r.otherZone {
+					other++
+				}
 			}
 		}
 	}
