--- a/core/sqplace/speed_test.go
+++ b/core/sqplace/speed_test.go
@@ -91,8 +91,8 @@
 }
 
 // TestLearnedSpeed fails if the latency ratio or the mean duration learns a speed that an
-// endpoint reports, or if
-// answer times do not correct the speed of one without figures where others report theirs.
+// endpoint reports, or if answer times do not correct the speed of one without figures where
+// others report theirs.
 func TestLearnedSpeed(t *testing.T) {
 	for name, reports := range map[string]bool{"reports its speed": true, "others report theirs": false} {
 		p, now := newPlacer(t, engineEndpoint("d", Decode)), start
--- a/core/sqplace/weighload_test.go
+++ b/core/sqplace/weighload_test.go
@@ -138,10 +138,7 @@
 func (r *mixedRun) restart(now time.Time, i int) {
 	r.ids[i] = fmt.Sprint("d", i, "-", now.UnixNano())
 	r.mixed[r.ids[i]] = &mixedEngine{lengths: map[prefixHash]int{}}
-	var fleet []Endpoint
-	for _, id := range r.ids {
-		fleet = append(fleet, engineEndpoint(id, Decode))
-	}
+	fleet := simFleet(len(r.ids), func(i int) Endpoint { return engineEndpoint(r.ids[i], Decode) })
 	for _, p := range r.gateways {
 		p.SetEndpoints(fleet)
 	}
