Heartbeats: lists of endpoints and their changes are encoded and compressed once

Cause: with 300 gateways and 3,000 endpoints the holder encoded the list, or its changes, for each heartbeat. Change: gateways that can read it are sent an encoded and compressed list, which the holder keeps for 250 ms for each revision that gateways have. TestListingIsEncodedOnce; go test ./app/sqcoordinator ./app/sqgateway pass.

--- a/app/sqcoordinator/bench_test.go
+++ b/app/sqcoordinator/bench_test.go
@@ -85,14 +85,15 @@
 		for _, takesDeltas := range []bool{false, true} {
 			b.Run(fmt.Sprintf("%dEndpoints/deltas=%v", size.endpoints, takesDeltas), func(b *testing.B) {
 				now := time.Unix(1000, 0)
-				ts, _ := benchTerm(newGroup(b, 1).nodes[1].coordinator, now, 1, size.endpoints)
+				c := newGroup(b, 1).nodes[1].coordinator
+				ts, _ := benchTerm(c, now, 1, size.endpoints)
 				req := &sqrpc.BeatRequest{FleetRevision: ts.listing.Revision(), TakesDeltas: takesDeltas}
 				ts.fleet[0] = ts.fleet[0].WithDraining()
 				ts.updateListing()
 				bytes := 0
 				for b.Loop() {
 					res := &sqrpc.BeatResponse{}
-					ts.fillListing(now, req, res)
+					c.fillListing(now, ts, req, res)
 					encoded, err := proto.Marshal(res)
 					assert.NilError(b, err)
 					bytes = len(encoded)
--- a/app/sqcoordinator/heartbeat.go
+++ b/app/sqcoordinator/heartbeat.go
@@ -6,7 +6,6 @@
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqevent"
-	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquorum"
 	"sequoiadock/core/sqstate"
 	"sequoiadock/core/sqwindow"
@@ -121,7 +120,7 @@
 	if t.fleet != nil {
 		res.FleetRevision = t.listing.Revision()
 		res.FleetAgeMillis = uint32(t.listAgeForGateways(now).Milliseconds())
-		t.fillListing(now, req, res)
+		c.fillListing(now, t, req, res)
 	}
 	t.gateways.checkSilence(now)
 	res.DirectoryRevision = t.gateways.directoryRevision
@@ -146,27 +145,3 @@
 		c.log.Event(sqevent.BeatNotEncoded, "loads", err.Error())
 	}
 }
-
-// fillListing sets the list of endpoints, or its changes, if the gateway has another
-// revision.
-func (t *termState) fillListing(now time.Time, req *sqrpc.BeatRequest, res *sqrpc.BeatResponse) {
-	if req.GetFleetRevision() == t.listing.Revision() {
-		return
-	}
-	d, ok := t.listing.Since(req.GetFleetRevision())
-	if !ok || !req.GetTakesDeltas() {
-		res.Endpoints = toListedEndpoints(now, t.listing.Endpoints())
-		return
-	}
-	res.DeltaFrom = req.GetFleetRevision()
-	res.Endpoints, res.RemovedEndpoints = toListedEndpoints(now, d.Changed), d.Removed
-}
-
-// toListedEndpoints converts endpoints to protocol messages.
-func toListedEndpoints(now time.Time, fleet []sqplace.Endpoint) []*sqrpc.ListedEndpoint {
-	list := make([]*sqrpc.ListedEndpoint, 0, len(fleet))
-	for i := range fleet {
-		list = append(list, sqrpc.FromEndpoint(now, &fleet[i]))
-	}
-	return list
-}
--- a/app/sqcoordinator/holder.go
+++ b/app/sqcoordinator/holder.go
@@ -49,9 +49,10 @@
 
 	// fleet is the platform's list of endpoints, nil until it is first read; listing is
 	// that list as gateways are sent it. fleetReadAt is when the list was last read.
-	fleet       []sqplace.Endpoint
-	listing     *sqlisting.History
-	fleetReadAt time.Time
+	fleet           []sqplace.Endpoint
+	listing         *sqlisting.History
+	encodedListings encodedListings
+	fleetReadAt     time.Time
 	// fleetKnownAt is when the last successful read of the list began.
 	fleetKnownAt time.Time
 	// fleetReadFailing is true if the last poll of the platform's list failed.
--- a/app/sqcoordinator/listing_test.go
+++ b/app/sqcoordinator/listing_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"sequoiadock/core/sqplace"
+	"sequoiadock/core/sqtransfer"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqrpc"
 )
@@ -71,9 +73,10 @@
 	ts.fleet[7] = ts.fleet[7].WithDraining()
 	ts.updateListing()
 
+	c := &coordinator{log: testLog()}
 	answer := func(revision uint64, takesDeltas bool) *sqrpc.BeatResponse {
 		res := &sqrpc.BeatResponse{}
-		ts.fillListing(now, &sqrpc.BeatRequest{FleetRevision: revision, TakesDeltas: takesDeltas}, res)
+		c.fillListing(now, ts, &sqrpc.BeatRequest{FleetRevision: revision, TakesDeltas: takesDeltas}, res)
 		return res
 	}
 	delta := answer(known, true)
@@ -85,3 +88,32 @@
 		assert.Equal(t, len(whole.GetEndpoints()), 330)
 	}
 }
+
+// TestListingIsEncodedOnce fails if gateways that need all endpoints at the same time are each
+// sent a list that is encoded anew, or one of an earlier revision.
+func TestListingIsEncodedOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ts := newTermState(testLog(), now, 2, time.Second)
+	c := &coordinator{log: testLog()}
+	listing := func(at time.Time) []byte {
+		res := &sqrpc.BeatResponse{}
+		c.fillListing(at, ts, &sqrpc.BeatRequest{TakesListings: true}, res)
+		assert.Equal(t, len(res.GetEndpoints()), 0)
+		return res.GetListing()
+	}
+	count := func(data []byte) int {
+		document, err := sqtransfer.Decode(data)
+		assert.NilError(t, err)
+		var list sqrpc.EndpointList
+		assert.NilError(t, proto.Unmarshal(document, &list))
+		return len(list.GetEndpoints())
+	}
+	for _, id := range []string{"i1", "i2"} {
+		ts.fleet = append(ts.fleet, sqplace.NewEndpoint(sqplace.EndpointConfig{ID: id, Service: "s"}))
+		ts.updateListing()
+		first := listing(now)
+		assert.Equal(t, count(first), len(ts.fleet))
+		assert.Assert(t, &listing(now.Add(listingInterval - 1))[0] == &first[0])
+		assert.Assert(t, &listing(now.Add(listingInterval))[0] != &first[0])
+	}
+}
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -125,7 +125,7 @@
 	req := &sqrpc.BeatRequest{
 		Gateway: g.cfg.Name, Run: g.runID, Zone: g.cfg.Zone, Region: g.cfg.Region, Address: g.cfg.CallerAddress,
 		Leaving: g.shuttingDown.Load(), FleetRevision: v.fleetRevision, WallUnixNano: sqclock.Wall().UnixNano(),
-		DirectoryRevision: v.directoryRevision, SuspectRevision: v.suspectRevision, FetchesTable: true, TakesDeltas: true, Utilization: g.utilization.toProto(),
+		DirectoryRevision: v.directoryRevision, SuspectRevision: v.suspectRevision, FetchesTable: true, TakesDeltas: true, TakesListings: true, Utilization: g.utilization.toProto(),
 	}
 	if v.table != nil {
 		req.TableVersion = v.table.Version()
--- a/app/sqgateway/view.go
+++ b/app/sqgateway/view.go
@@ -3,12 +3,15 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sequoiadock/core/sqdirectory"
 	"sequoiadock/core/sqevent"
 	"sequoiadock/core/sqlisting"
 	"sequoiadock/core/sqplace"
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqtable"
+	"sequoiadock/core/sqtransfer"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqrpc"
 )
@@ -156,15 +159,20 @@
 	if res.GetFleetRevision() == v.fleetRevision {
 		return true
 	}
-	received := make([]sqplace.Endpoint, 0, len(res.GetEndpoints()))
-	for _, endpoint := range res.GetEndpoints() {
+	list, err := endpointList(res)
+	if err != nil {
+		g.log.Event(sqevent.BeatNotDecoded, "listing", err.Error())
+		return false
+	}
+	received := make([]sqplace.Endpoint, 0, len(list.GetEndpoints()))
+	for _, endpoint := range list.GetEndpoints() {
 		received = append(received, sqrpc.ToEndpoint(receivedAt, endpoint))
 	}
-	switch res.GetDeltaFrom() {
+	switch list.GetDeltaFrom() {
 	case 0:
 		v.fleet = received
 	case v.fleetRevision:
-		v.fleet = sqlisting.Delta{Changed: received, Removed: res.GetRemovedEndpoints()}.Apply(v.fleet)
+		v.fleet = sqlisting.Delta{Changed: received, Removed: list.GetRemovedEndpoints()}.Apply(v.fleet)
 	default:
 		// The next heartbeat names the revision again.
 		return false
@@ -180,3 +188,16 @@
 	g.log.Event(sqevent.EndpointListInForce, v.fleetRevision, len(v.fleet))
 	return true
 }
+
+// endpointList returns the endpoints of a response, or their changes.
+func endpointList(res *sqrpc.BeatResponse) (*sqrpc.EndpointList, error) {
+	if len(res.GetListing()) == 0 {
+		return &sqrpc.EndpointList{Endpoints: res.GetEndpoints(), DeltaFrom: res.GetDeltaFrom(), RemovedEndpoints: res.GetRemovedEndpoints()}, nil
+	}
+	document, err := sqtransfer.Decode(res.GetListing())
+	if err != nil {
+		return nil, err
+	}
+	var list sqrpc.EndpointList
+	return &list, proto.Unmarshal(document, &list)
+}
--- a/core/sqtransfer/download.go
+++ b/core/sqtransfer/download.go
@@ -63,7 +63,7 @@
 func (d *Download) Document() ([]byte, error) {
 	data := d.data
 	d.Reset()
-	return decode(data)
+	return Decode(data)
 }
 
 // Reset drops what has arrived.
--- a/core/sqtransfer/sqtransfer.go
+++ b/core/sqtransfer/sqtransfer.go
@@ -30,9 +30,9 @@
 	Data          []byte
 }
 
-// encode returns the compressed form of a document. The fastest level makes tables of
+// Encode returns the compressed form of a document. The fastest level makes tables of
 // routes fifteen times smaller; the others save little more.
-func encode(document []byte) []byte {
+func Encode(document []byte) []byte {
 	var b bytes.Buffer
 	// The level is valid, and writing to a bytes.Buffer never fails.
 	w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed)
@@ -41,8 +41,8 @@
 	return b.Bytes()
 }
 
-// decode returns the document of a compressed form. The error is of kind BadResponse.
-func decode(encoded []byte) ([]byte, error) {
+// Decode returns the document of a compressed form. The error is of kind BadResponse.
+func Decode(encoded []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(encoded))
 	if err != nil {
 		return nil, badPiece("the document is not compressed", err)
--- a/core/sqtransfer/store.go
+++ b/core/sqtransfer/store.go
@@ -33,7 +33,7 @@
 	if version <= s.Newest() {
 		return
 	}
-	data := encode(document)
+	data := Encode(document)
 	s.kept = append(s.kept, encodedVersion{version: version, data: data})
 	s.bytes += len(data)
 	for len(s.kept) > 1 && (len(s.kept) > maxKeptVersions || s.bytes > maxKeptBytes) {
