Placement: the choice of a prefiller stands once

Cause: the same loop chose the engine that prefills the whole request and the one that prefills for another engine. Change: choosePrefiller serves both; no behaviour changed. go test ./core/sqplace passes.

--- a/core/sqplace/choose.go
+++ b/core/sqplace/choose.go
@@ -112,36 +112,56 @@
 	cost   time.Duration
 }
 
-// bestDirect returns the endpoint of lowest cost that prefills the prompt itself.
-func (p *Placer) bestDirect(now time.Time, s *pool, r *request, candidates []*node) scoredChoice {
-	nodes := withoutStage(candidates, Prefill)
+// prefiller is the endpoint that is chosen to prefill a prompt. Its node is nil if there is
+// none.
+type prefiller struct {
+	node          *node
+	latency, room time.Duration
+	uncached      int
+	// lowestCost is the lowest cost of all endpoints. That of the node may be higher by what
+	// spreads choices over endpoints of different speeds.
+	lowestCost time.Duration
+}
+
+// choosePrefiller returns the endpoint that prefills the prompt, as a part of the request or
+// the whole of it.
+func (p *Placer) choosePrefiller(now time.Time, s *pool, r *request, nodes []*node, part Part) prefiller {
 	preferred := r.preferred(nodes)
-	var best scoredChoice
-	var bestRank, lowestCost time.Duration
-	var bestNode *node
+	var best prefiller
+	var bestRank time.Duration
 	for _, n := range nodes {
 		uncached := r.uncachedTokens(n, preferred)
 		room := p.roomWait(s, r, n)
 		latency := s.directLatency(now, r, n, uncached) + room
 		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached)
-		if bestNode == nil || cost < lowestCost {
-			lowestCost = cost
-		}
 		rank := cost + p.spread(s, r, n, latency)
 		if r.recorder != nil {
-			r.recorder.add(p, now, s, r, n, estimate{Whole, uncached, room, latency, rank})
+			r.recorder.add(p, now, s, r, n, estimate{part, uncached, room, latency, rank})
 		}
-		if bestNode == nil || rank < bestRank {
-			bestNode, bestRank = n, rank
-			best.choice = Choice{ExpectedLatency: latency, UncachedTokens: uncached, Reason: "shortest expected time", roomWait: room}
+		lowestCost := cost
+		if best.node != nil {
+			lowestCost = min(cost, best.lowestCost)
 		}
-	}
-	if bestNode != nil {
-		best.choice.Endpoint, best.cost = bestNode.endpointCopy(), lowestCost
+		if best.node == nil || rank < bestRank {
+			best, bestRank = prefiller{node: n, latency: latency, room: room, uncached: uncached}, rank
+		}
+		best.lowestCost = lowestCost
 	}
 	return best
 }
 
+// bestDirect returns the endpoint of lowest cost that prefills the prompt itself.
+func (p *Placer) bestDirect(now time.Time, s *pool, r *request, candidates []*node) scoredChoice {
+	best := p.choosePrefiller(now, s, r, withoutStage(candidates, Prefill), Whole)
+	if best.node == nil {
+		return scoredChoice{}
+	}
+	return scoredChoice{cost: best.lowestCost, choice: Choice{
+		Endpoint: best.node.endpointCopy(), ExpectedLatency: best.latency, UncachedTokens: best.uncached, Reason: "shortest expected time",
+		roomWait: best.room,
+	}}
+}
+
 // interference returns the delay of other requests if an engine prefills a
 // prompt: at a prefill engine the requests queued behind it, at a decode engine
 // also each running request.
@@ -200,39 +220,19 @@
 // bestPair returns the lowest-cost pair of a prefill and a decode engine, or false if
 // there is none.
 func (p *Placer) bestPair(now time.Time, s *pool, r *request, candidates []*node) (scoredChoice, bool) {
-	prefillNodes := withoutStage(candidates, Decode)
-	preferred := r.preferred(prefillNodes)
-	var prefiller *node
-	var lowestCost, prefillLatency, prefillRoom, bestRank time.Duration
-	prefillUncached := 0
-	for _, n := range prefillNodes {
-		uncached := r.uncachedTokens(n, preferred)
-		room := p.roomWait(s, r, n)
-		latency := s.directLatency(now, r, n, uncached) + room
-		cost := p.randomized(now, s, r, n, latency+p.penalty(now, n)) + s.interference(now, n, uncached)
-		if prefiller == nil || cost < lowestCost {
-			lowestCost = cost
-		}
-		rank := cost + p.spread(s, r, n, latency)
-		if r.recorder != nil {
-			r.recorder.add(p, now, s, r, n, estimate{PrefillPart, uncached, room, latency, rank})
-		}
-		if prefiller == nil || rank < bestRank {
-			prefiller, bestRank, prefillLatency, prefillUncached, prefillRoom = n, rank, latency, uncached, room
-		}
-	}
-	if prefiller == nil {
+	first := p.choosePrefiller(now, s, r, withoutStage(candidates, Decode), PrefillPart)
+	if first.node == nil {
 		return scoredChoice{}, false
 	}
 	best := p.bestDecode(now, s, r, withoutStage(candidates, Prefill))
 	if best.choice.Endpoint == nil {
 		return scoredChoice{}, false
 	}
-	best.choice.PrefillEndpoint, best.choice.PrefillUncachedTokens = prefiller.endpointCopy(), prefillUncached
-	best.choice.PrefillLatency, best.choice.roomWait = prefillLatency, max(best.choice.roomWait, prefillRoom)
-	best.choice.ExpectedLatency += prefillLatency + s.transferTime(&r.Prompt)
+	best.choice.PrefillEndpoint, best.choice.PrefillUncachedTokens = first.node.endpointCopy(), first.uncached
+	best.choice.PrefillLatency, best.choice.roomWait = first.latency, max(best.choice.roomWait, first.room)
+	best.choice.ExpectedLatency += first.latency + s.transferTime(&r.Prompt)
 	best.choice.Reason = "a prefill engine reads the prompt sooner"
-	best.cost += lowestCost + s.transferTime(&r.Prompt) + remotePrefillPenalty
+	best.cost += first.lowestCost + s.transferTime(&r.Prompt) + remotePrefillPenalty
 	return best, true
 }
 
