Heartbeats: speeds of idle endpoints are sent a part at a time in large fleets

Cause: each sum of loads held the speeds of all endpoints that report them. Change: a sum holds 128 of the idle ones at most, others each time.

--- a/app/sqcoordinator/speeds.go
+++ b/app/sqcoordinator/speeds.go
@@ -8,6 +8,10 @@
 	"sequoiadock/io/sqrpc"
 )
 
+// maxIdleSpeeds is how many speeds of endpoints without requests a sum of loads holds at most.
+// Speeds of the long term change slowly, while each gateway is sent a sum with each heartbeat.
+const maxIdleSpeeds = 128
+
 // recordSpeeds records what endpoints reported of their speed to a gateway.
 func (r *gatewayRegistry) recordSpeeds(now time.Time, req *sqrpc.BeatRequest) {
 	for _, s := range req.GetSpeeds() {
@@ -15,10 +19,15 @@
 	}
 }
 
-// addIdleSpeeds adds the speeds of the endpoints at which no gateway has a request.
+// addIdleSpeeds adds the speeds of endpoints at which no gateway has a request. In a large
+// fleet each sum holds others of them.
 func (r *gatewayRegistry) addIdleSpeeds(now time.Time, list *sqrpc.InFlightList) {
 	r.speeds.Forget(now)
+	busy := len(list.Loads)
 	for _, id := range r.speeds.Endpoints() {
+		if len(list.Loads)-busy >= maxIdleSpeeds {
+			return
+		}
 		if r.inFlight[id] != nil {
 			continue
 		}
--- a/app/sqcoordinator/speeds_test.go
+++ b/app/sqcoordinator/speeds_test.go
@@ -42,6 +42,27 @@
 	assert.Equal(t, got["e2"].GetWorkPercent(), uint32(0))
 }
 
+// TestIdleSpeedsAreBounded fails if the sum of loads grows with the endpoints at which nothing
+// runs, or if some of their speeds never reach a gateway.
+func TestIdleSpeedsAreBounded(t *testing.T) {
+	r, now := newGatewayRegistry(testLog(), 2), time.Unix(1000, 0)
+	const endpoints, sums = 3 * maxIdleSpeeds, 60
+	req := registryBeat("g1")
+	for i := range endpoints {
+		req.Speeds = append(req.Speeds, &sqrpc.SpeedReport{Endpoint: fmt.Sprint(i), WorkPercent: 150, Reports: 1})
+	}
+	r.record(now, req, nil)
+	reached := map[string]bool{}
+	for range sums {
+		loads := r.loadList(now).GetLoads()
+		assert.Assert(t, len(loads) <= maxIdleSpeeds, "%d", len(loads))
+		for _, l := range loads {
+			reached[l.GetId()] = true
+		}
+	}
+	assert.Equal(t, len(reached), endpoints)
+}
+
 // BenchmarkBeatWithSpeeds measures heartbeats with the time between them, where each reports
 // the speed of four endpoints or none.
 func BenchmarkBeatWithSpeeds(b *testing.B) {
