--- a/core/sqcapacity/orders.go
+++ b/core/sqcapacity/orders.go
@@ -145,10 +145,11 @@
 
 // minOnDemandPerZone returns the minimum number of on-demand endpoints of each zone.
 func (s *serviceState) minOnDemandPerZone(svc *Service, zones int) int {
+	percent := minOnDemandPercent
 	if s.replacesReclaimed {
-		return svc.Scaling.MinPerZone
+		percent = replacingOnDemandPercent
 	}
-	return max(svc.Scaling.MinPerZone, s.initialEndpoints*minOnDemandPercent/100/zones)
+	return max(svc.Scaling.MinPerZone, s.initialEndpoints*percent/100/zones)
 }
 
 // zoneOrders returns the orders of one zone, whether or not they need sending.
--- a/core/sqcapacity/reclaim.go
+++ b/core/sqcapacity/reclaim.go
@@ -6,6 +6,10 @@
 	// maxLostZones is how many zones may lose their spot endpoints at the same time while the
 	// others still carry the load.
 	maxLostZones = 2
+	// replacingOnDemandPercent of the initial endpoints stays on demand where reclaimed ones
+	// are replaced: two zones may be lost at the same moment, and an endpoint takes seconds to
+	// start and to fill its cache.
+	replacingOnDemandPercent = 20
 	// zoneRecoveryTime is how long a zone must have its spot endpoints back before the
 	// on-demand endpoints that stand in for them are released: new engines have empty caches.
 	zoneRecoveryTime = 5 * time.Second
@@ -56,12 +60,13 @@
 // of spot endpoints of a zone without a loss.
 func (s *serviceState) standIns(now time.Time, svc *Service, zones []string, full int) map[string]int {
 	var lost []string
+	reserve := s.minOnDemandPerZone(svc, len(zones))
 	remaining, most := 0, 0
 	for _, zone := range zones {
 		spots := s.spotsOf(zone)
 		listed := countEndpoints(svc.Endpoints, zone).spot
 		spots.observe(now, listed, full)
-		remaining += svc.Scaling.MinPerZone
+		remaining += reserve
 		if spots.lost {
 			// Those that are left are about to go, and new ones have empty caches.
 			lost = append(lost, zone)
@@ -79,7 +84,7 @@
 	missing := max(0, s.initialEndpoints-remaining)
 	standIns := make(map[string]int, len(lost))
 	for _, zone := range lost {
-		room := svc.Scaling.MaxPerZone - svc.Scaling.MinPerZone - max(countEndpoints(svc.Endpoints, zone).spot, s.spotsOf(zone).awaited)
+		room := svc.Scaling.MaxPerZone - reserve - max(countEndpoints(svc.Endpoints, zone).spot, s.spotsOf(zone).awaited)
 		standIns[zone] = max(0, min((missing+len(lost)-1)/len(lost), room))
 	}
 	return standIns
