--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
-(cd review/standin2 && GOWORK=off go build -o ../../target/standin2 .)
+(cd review/6/standin && GOWORK=off go build -o ../../../target/standin2 .)
