Reject responses whose status is none

Callers got answers whose status line is none: with status 600 or 999 as the endpoint's answer, with 000, 099, +20 or 101 whatever followed, even the body if it looked like a response. With 000 alone they waited until their deadline.

Cause: http.ReadResponse accepts any number of three characters and any version; sqlink counted codes below 200 as informational, the transport of net/http takes codes below 100 for final ones.

The rule is in io/sqresponse, for all readers: sqlink calls it, all other clients are wrapped in sqresponse.NewTransport. Five hand-made clients became sqhttp.NewClient.

--- a/app/sqcontrol/holder.go
+++ b/app/sqcontrol/holder.go
@@ -14,6 +14,7 @@
 	"sequoiadock/core/sqstate"
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqguard"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqmachine"
 	"sequoiadock/io/sqreplica"
@@ -55,7 +56,7 @@
 		replica:         r,
 		machine:         m,
 		log:             cfg.Log,
-		unguardedClient: &http.Client{Timeout: callTimeout},
+		unguardedClient: sqhttp.NewClient(sqhttp.ClientConfig{Timeout: callTimeout}),
 		planners:        newPlanners(cfg.Policies),
 	}
 	h.metrics = newMetricSet(h)
--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -163,7 +163,7 @@
 func run(ctx context.Context, cfg Config) error {
 	c := &coordinator{
 		cfg: cfg, stateMachine: sqmachine.New(), locator: sqlocate.New(cfg.Seeds), log: cfg.Log,
-		client:  sqhttp.NewClient(callTimeout),
+		client:  sqhttp.NewClient(sqhttp.ClientConfig{Timeout: callTimeout}),
 		metrics: metrics.NewSet(), quarantineDecisions: make(chan sqquarantine.Decision, 1),
 	}
 	c.seeds.Store(&cfg.Seeds)
--- a/app/sqcoordinator/quota_test.go
+++ b/app/sqcoordinator/quota_test.go
@@ -79,7 +79,7 @@
 	g := newGroup(b, 1, 2, 3)
 	document := []byte(`{"Version":1,"Teams":[{"Name":"t","Quota":{"RatePerS":1e9,"Burst":1e9}}]}`)
 	g.waitFor("the table", func() bool { return g.nodes[g.holder()].Declare(b.Context(), document) == nil })
-	client := sqrpc.NewCoordinatorProtobufClient("http://"+g.internalAddress(g.holder()), sqhttp.NewClient(callTimeout))
+	client := sqrpc.NewCoordinatorProtobufClient("http://"+g.internalAddress(g.holder()), sqhttp.NewClient(sqhttp.ClientConfig{Timeout: callTimeout}))
 	req := &sqrpc.GrantQuotaRequest{Gateway: "g", Run: "1", Team: "t", Units: 400}
 	g.waitFor("the quotas", func() bool { _, err := client.GrantQuota(b.Context(), req); return err == nil })
 	for b.Loop() {
--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -185,7 +185,7 @@
 		firstViewReceived: make(chan struct{}),
 		freshness:         sqfreshness.New(sqfreshness.Config{MaxSuperseded: cfg.TableApplyTimeout * supersededPercent / 100}),
 		awaitedTables:     make(chan awaitedTable, 1),
-		coordinatorClient: sqhttp.NewClient(heartbeatTimeout),
+		coordinatorClient: sqhttp.NewClient(sqhttp.ClientConfig{Timeout: heartbeatTimeout}),
 		beats:             newBeatLog(),
 		placer: sqplace.New(sqplace.Config{
 			Zone: cfg.Zone, Seed: binary.LittleEndian.Uint64(seed[:]), MaxListAge: cfg.DrainTimeout * listAgePercent / 100,
--- a/app/sqoperator/client.go
+++ b/app/sqoperator/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -13,6 +12,7 @@
 	"sequoiadock/core/sqcommand"
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqrpc"
 )
 
@@ -62,8 +62,8 @@
 			Kind: sqerror.Usage, Detail: "no control process address is given", Advice: "give -controls ip:port,ip:port or set " + EnvControls,
 		})
 	}
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext}
-	return &clusterClient{addresses: addresses, http: &http.Client{Transport: transport}}, nil
+	client := sqhttp.NewClient(sqhttp.ClientConfig{ConnectTimeout: connectTimeout})
+	return &clusterClient{addresses: addresses, http: client}, nil
 }
 
 func (c *clusterClient) controlClient(address string) sqrpc.Control {
--- a/app/sqoperator/place.go
+++ b/app/sqoperator/place.go
@@ -16,6 +16,7 @@
 	"sequoiadock/core/sqerror"
 	"sequoiadock/core/sqkey"
 	"sequoiadock/core/sqplacement"
+	"sequoiadock/io/sqhttp"
 )
 
 // maxPlacementBytes limits the answer of a gateway, which names all endpoints of a service.
@@ -124,11 +125,9 @@
 		return nil, unreachableGateway(address, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	// The key is sent to the named address only, not to a proxy or where a redirect leads.
-	client := &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	// The key is sent to the named address only, not where a redirect leads.
+	client := sqhttp.NewClient(sqhttp.ClientConfig{CloseAfterUse: true})
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	res, err := client.Do(req)
 	if err != nil {
 		return nil, unreachableGateway(address, err)
--- a/io/sqendpoint/failure.go
+++ b/io/sqendpoint/failure.go
@@ -20,7 +20,7 @@
 // maxErrorBodyBytes bounds how much of an endpoint's error response is read.
 const maxErrorBodyBytes = 4 << 10
 
-// roundTripError returns the typed error of a request that got no response.
+// roundTripError returns the typed error of a request that got no sound response.
 func roundTripError(ctx context.Context, s *writeTracker, err error) error {
 	execution := sqerror.NotRun
 	if s.close() {
@@ -29,6 +29,9 @@
 	if checkErr := s.checkErr(); checkErr != nil {
 		return withExecution(checkErr, execution)
 	}
+	if sqerror.KindOf(err) == sqerror.BadResponse {
+		return err
+	}
 	kind := sqerror.EndpointFailed
 	if ctx.Err() != nil {
 		kind = contextKind(ctx)
--- a/io/sqendpoint/sqendpoint.go
+++ b/io/sqendpoint/sqendpoint.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sequoiadock/core/sqerror"
+	"sequoiadock/io/sqresponse"
 )
 
 // Config configures a Client.
@@ -46,8 +47,8 @@
 // Client sends requests to endpoints. It is safe for concurrent use.
 type Client struct {
 	cfg              Config
-	transport        *http.Transport
-	controlTransport *http.Transport
+	transport        *sqresponse.Transport
+	controlTransport *sqresponse.Transport
 	// controlBytes counts the bytes sent and received by controlTransport.
 	controlBytes atomic.Int64
 }
@@ -74,9 +75,9 @@
 
 // newTransport returns a transport that adds the bytes that it sends and receives
 // to byteCount, unless byteCount is nil.
-func newTransport(cfg Config, maxConnections int, byteCount *atomic.Int64) *http.Transport {
+func newTransport(cfg Config, maxConnections int, byteCount *atomic.Int64) *sqresponse.Transport {
 	dialer := &net.Dialer{Timeout: cfg.ConnectTimeout}
-	return &http.Transport{
+	return sqresponse.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -94,7 +95,7 @@
 		WriteBufferSize:        writeBufferBytes,
 		ReadBufferSize:         readBufferBytes,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // CountBytes returns a connection that adds the bytes sent and received over c to
--- a/io/sqguard/sqguard.go
+++ b/io/sqguard/sqguard.go
@@ -15,6 +15,7 @@
 	"sequoiadock/core/sqduty"
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqpoint"
+	"sequoiadock/io/sqresponse"
 )
 
 // maxResponseHeaderBytes limits the headers of a response.
@@ -72,11 +73,11 @@
 	}
 	return &http.Client{
 		Timeout: timeout,
-		Transport: &http.Transport{
+		Transport: sqresponse.NewTransport(&http.Transport{
 			DialContext:            g.dial,
 			DisableKeepAlives:      true,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}),
 	}
 }
 
--- /dev/null
+++ b/io/sqhttp/client.go
@@ -0,0 +1,49 @@
+package sqhttp
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"sequoiadock/io/sqresponse"
+)
+
+const (
+	// defaultIdleTimeout is how long a client keeps an idle connection.
+	defaultIdleTimeout = time.Minute
+	// maxResponseHeaderBytes limits the headers of a response.
+	maxResponseHeaderBytes = 64 << 10
+)
+
+// ClientConfig configures a client.
+type ClientConfig struct {
+	// Timeout bounds a whole request, from connecting to the end of the response; 0 means no
+	// bound but that of the request's context.
+	Timeout time.Duration
+	// ConnectTimeout bounds connecting; 0 means Timeout.
+	ConnectTimeout time.Duration
+	// IdleTimeout is how long an idle connection is kept; 0 means a minute.
+	IdleTimeout time.Duration
+	// MaxConnections bounds the connections to one address, and MaxIdleConnections those of
+	// them that are kept when they are idle; 0 means the values of net/http.
+	MaxConnections, MaxIdleConnections int
+	// CloseAfterUse is set if each request gets a connection of its own.
+	CloseAfterUse bool
+}
+
+// NewClient returns a client that fails for broken responses. It uses no proxy.
+func NewClient(cfg ClientConfig) *http.Client {
+	if cfg.ConnectTimeout == 0 {
+		cfg.ConnectTimeout = cfg.Timeout
+	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = defaultIdleTimeout
+	}
+	dialer := &net.Dialer{Timeout: cfg.ConnectTimeout}
+	transport := sqresponse.NewTransport(&http.Transport{
+		DialContext: dialer.DialContext, IdleConnTimeout: cfg.IdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes, DisableKeepAlives: cfg.CloseAfterUse,
+		MaxConnsPerHost: cfg.MaxConnections, MaxIdleConnsPerHost: cfg.MaxIdleConnections,
+	})
+	return &http.Client{Timeout: cfg.Timeout, Transport: meteredTransport{Transport: transport}}
+}
--- a/io/sqhttp/guard_test.go
+++ b/io/sqhttp/guard_test.go
@@ -88,7 +88,7 @@
 // post sends a body, chunked if it has no length, and returns the status and the answer.
 func (g *testGuard) post(t *testing.T, body io.Reader) (int, string) {
 	t.Helper()
-	res, err := NewClient(testTimeout).Post("http://"+g.address, "text/plain", body)
+	res, err := NewClient(ClientConfig{Timeout: testTimeout}).Post("http://"+g.address, "text/plain", body)
 	assert.NilError(t, err)
 	defer res.Body.Close()
 	b, err := io.ReadAll(res.Body)
@@ -225,7 +225,7 @@
 	}
 	for end := time.Now().Add(testTimeout); ; time.Sleep(10 * time.Millisecond) {
 		assert.Assert(t, g.server.openConnections() <= g.server.maxConnections)
-		res, err := NewClient(testTimeout).Get("http://" + g.address)
+		res, err := NewClient(ClientConfig{Timeout: testTimeout}).Get("http://" + g.address)
 		if err == nil {
 			assert.NilError(t, res.Body.Close())
 			assert.Equal(t, res.StatusCode, http.StatusOK)
--- a/io/sqhttp/sqhttp.go
+++ b/io/sqhttp/sqhttp.go
@@ -17,13 +17,6 @@
 	"sequoiadock/core/sqerror"
 )
 
-const (
-	// idleTimeout is how long a client keeps an idle connection.
-	idleTimeout = time.Minute
-	// maxResponseHeaderBytes limits the headers of a response.
-	maxResponseHeaderBytes = 64 << 10
-)
-
 // Listen listens on a TCP address. Its errors are of kind Unreachable.
 func Listen(address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
@@ -33,15 +26,6 @@
 	return ln, nil
 }
 
-// NewClient returns a client whose connects and requests are bounded by timeout.
-func NewClient(timeout time.Duration) *http.Client {
-	dialer := &net.Dialer{Timeout: timeout}
-	return &http.Client{Timeout: timeout, Transport: meteredTransport{next: &http.Transport{
-		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}}
-}
-
 // Shutdown stops srv and waits up to timeout for running requests to finish. It
 // then closes the remaining connections.
 func Shutdown(srv *http.Server, timeout time.Duration) {
--- a/io/sqhttp/sqhttp_test.go
+++ b/io/sqhttp/sqhttp_test.go
@@ -26,7 +26,7 @@
 	t.Cleanup(srv.CloseClientConnections)
 	const timeout = 10 * time.Second
 	start := time.Now()
-	res, err := NewClient(timeout).Get(srv.URL)
+	res, err := NewClient(ClientConfig{Timeout: timeout}).Get(srv.URL)
 	if err == nil {
 		_ = res.Body.Close()
 	}
@@ -43,7 +43,7 @@
 	assert.Assert(t, transfer.FirstByte() < 0)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, srv.URL, http.NoBody)
 	assert.NilError(t, err)
-	res, err := NewClient(time.Second).Do(req)
+	res, err := NewClient(ClientConfig{Timeout: time.Second}).Do(req)
 	assert.NilError(t, err)
 	_, err = io.ReadAll(res.Body)
 	assert.NilError(t, err)
@@ -71,7 +71,7 @@
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, srv.URL, strings.NewReader(strings.Repeat("x", 2<<20)))
 		assert.NilError(t, err)
 		req.Close = true
-		res, err := NewClient(10 * time.Second).Do(req)
+		res, err := NewClient(ClientConfig{Timeout: 10 * time.Second}).Do(req)
 		assert.NilError(t, err)
 		assert.NilError(t, res.Body.Close())
 		assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
--- a/io/sqhttp/transfer.go
+++ b/io/sqhttp/transfer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqresponse"
 )
 
 // Transfer measures how the response of one request arrives. It is safe for concurrent
@@ -63,12 +64,12 @@
 
 // meteredTransport measures the responses to requests whose context has a Transfer.
 type meteredTransport struct {
-	next http.RoundTripper
+	*sqresponse.Transport
 }
 
 // RoundTrip implements http.RoundTripper.
 func (m meteredTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	res, err := m.next.RoundTrip(req)
+	res, err := m.Transport.RoundTrip(req)
 	t, ok := req.Context().Value(transferKey{}).(*Transfer)
 	if err != nil || !ok {
 		return res, err
--- a/io/sqlink/conn.go
+++ b/io/sqlink/conn.go
@@ -18,6 +18,7 @@
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqmeter"
+	"sequoiadock/io/sqresponse"
 )
 
 const (
@@ -167,6 +168,9 @@
 			}
 			return nil, badResponse("what came is no answer", err)
 		}
+		if err := sqresponse.CheckHead(res); err != nil {
+			return nil, err
+		}
 		c.limiter.remaining = math.MaxInt64
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
--- a/io/sqreplica/transport.go
+++ b/io/sqreplica/transport.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"sequoiadock/core/sqevent"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqlog"
 	"sequoiadock/io/sqrpc"
 )
@@ -95,11 +95,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &PeerTransport{
 		cfg: cfg, ctx: ctx, cancel: cancel, queues: map[destination]*queue{},
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:     (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
-			MaxConnsPerHost: maxConnsPerPeer,
-			IdleConnTimeout: idleConnTimeout,
-		}},
+		client: sqhttp.NewClient(sqhttp.ClientConfig{
+			ConnectTimeout: cfg.Timeout, IdleTimeout: idleConnTimeout, MaxConnections: maxConnsPerPeer,
+		}),
 	}
 }
 
--- /dev/null
+++ b/io/sqresponse/head.go
@@ -0,0 +1,37 @@
+// Package sqresponse has the rule by which all HTTP clients of the project tell a sound
+// response from a broken one. net/http accepts more than HTTP/1.1 allows, so a client that
+// reads responses through it checks them here too: Transport does it for a whole client,
+// CheckHead for a response that was read otherwise.
+package sqresponse
+
+import (
+	"net/http"
+	"strconv"
+
+	"sequoiadock/core/sqerror"
+)
+
+// minStatus and maxStatus are the status codes that HTTP defines (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// CheckHead returns an error unless the status line of a response is sound. The error is of
+// kind BadResponse with execution MayHaveRun.
+func CheckHead(res *http.Response) error {
+	switch {
+	case res.ProtoMajor != 1:
+		return badResponse("the version of the response is " + strconv.Quote(res.Proto))
+	case res.StatusCode < minStatus || res.StatusCode > maxStatus:
+		return badResponse("the status of the response is " + strconv.Quote(res.Status))
+	case res.StatusCode == http.StatusSwitchingProtocols:
+		// No client of the project asks for another protocol.
+		return badResponse("the response switches protocols")
+	}
+	return nil
+}
+
+func badResponse(detail string) error {
+	return sqerror.New(sqerror.Config{Kind: sqerror.BadResponse, Execution: sqerror.MayHaveRun, Detail: detail})
+}
--- /dev/null
+++ b/io/sqresponse/head_test.go
@@ -0,0 +1,26 @@
+package sqresponse_test
+
+import "testing"
+
+// TestBrokenStatusIsTakenForSuccess fails if a reader accepts a response whose status line is
+// none, or takes it for an informational response.
+func TestBrokenStatusIsTakenForSuccess(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nCONTENT-TYPE\r\nConnection: close\r\n\r\nBODY"
+	expectError(t, map[string]string{
+		"000":                   "HTTP/1.1 000 X\r\nCONTENT-TYPE\r\n\r\nBODY",
+		"000 before a response": "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + whole,
+		"099 before a response": "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n" + whole,
+		"+20 before a response": "HTTP/1.1 +20 X\r\nContent-Length: 0\r\n\r\n" + whole,
+		"101 before a response": "HTTP/1.1 101 X\r\n\r\n" + whole,
+		"101, upgrade":          "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nBODY",
+		"600":                   "HTTP/1.1 600 X\r\nCONTENT-TYPE\r\n\r\nBODY",
+		"999":                   "HTTP/1.1 999 X\r\nCONTENT-TYPE\r\n\r\nBODY",
+		"version 2":             "HTTP/2.0 200 OK\r\nCONTENT-TYPE\r\n\r\nBODY",
+		"version 0":             "HTTP/0.9 200 OK\r\nCONTENT-TYPE\r\n\r\nBODY",
+	})
+	expectSuccess(t, map[string]string{
+		"200":                   whole,
+		"103 before a response": "HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + whole,
+		"version 1.0":           "HTTP/1.0 200 OK\r\nCONTENT-TYPE\r\n\r\nBODY",
+	})
+}
--- a/io/sqwatch/controls.go
+++ b/io/sqwatch/controls.go
@@ -1,13 +1,13 @@
 package sqwatch
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqlocate"
 	"sequoiadock/io/sqrpc"
 )
@@ -28,13 +28,9 @@
 
 func newHTTPClient(connectTimeout time.Duration) *http.Client {
 	const maxConnections = 32
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxConnections,
-		MaxConnsPerHost:     maxConnections,
-		IdleConnTimeout:     time.Minute,
-	}}
+	return sqhttp.NewClient(sqhttp.ClientConfig{
+		ConnectTimeout: connectTimeout, MaxConnections: maxConnections, MaxIdleConnections: maxConnections,
+	})
 }
 
 // current returns the address and the client of the control process that is
