Reject responses with a blank in the name of a header

Callers got answers in whose head a name held a blank: without that line, and with "Content-Length : 500" or "Transfer-Encoding : chunked" with a body that was not the endpoint's, a part or the chunks with their lengths, as whole.

Cause: textproto.Reader.ReadMIMEHeader accepts such names and keeps them as they are, so that they delimit nothing. Evidence: without the blank the same bytes are a body that broke off, and a tab in its place is refused, as are all other control bytes: those held already, and their tests stay.

sqresponse.CheckHead refuses names that are no tokens, for all readers.

--- a/app/sqentry/brokenhead_test.go
+++ b/app/sqentry/brokenhead_test.go
@@ -48,3 +48,13 @@
 		})
 	}
 }
+
+// TestBrokenNameIsRecorded fails if a response in whose head a name is none is recorded as the
+// outcome of a call, or reaches a caller.
+func TestBrokenNameIsRecorded(t *testing.T) {
+	for _, line := range []string{"X Other: a", "X-Other : a", "Content-Length : 50", "Transfer-Encoding : chunked", "X-O\x01ther: a"} {
+		t.Run(line, func(t *testing.T) {
+			expectBrokenOutcome(t, "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\n"+line+"\r\n\r\nwrong")
+		})
+	}
+}
--- a/io/sqresponse/head.go
+++ b/io/sqresponse/head.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 
+	"golang.org/x/net/http/httpguts"
+
 	"sequoiadock/core/sqerror"
 )
 
@@ -17,8 +19,8 @@
 	maxStatus = 599
 )
 
-// CheckHead returns an error unless the status line of a response is sound. The error is of
-// kind BadResponse with execution MayHaveRun.
+// CheckHead returns an error unless the status line and the names of the headers are sound. The
+// error is of kind BadResponse with execution MayHaveRun.
 func CheckHead(res *http.Response) error {
 	switch {
 	case res.ProtoMajor != 1:
@@ -29,6 +31,13 @@
 		// No client of the project asks for another protocol.
 		return badResponse("the response switches protocols")
 	}
+	for name := range res.Header {
+		// net/http accepts names with blanks. Among them could be a length that was meant to
+		// delimit the body.
+		if !httpguts.ValidHeaderFieldName(name) {
+			return badResponse("the response has a header with the name " + strconv.Quote(name))
+		}
+	}
 	return nil
 }
 
--- a/io/sqresponse/head_test.go
+++ b/io/sqresponse/head_test.go
@@ -24,3 +24,27 @@
 		"version 1.0":           "HTTP/1.0 200 OK\r\nCONTENT-TYPE\r\n\r\nBODY",
 	})
 }
+
+// TestBrokenNameIsTakenForSuccess fails if a reader accepts a response in whose head a name is
+// none: a length with such a name does not count, so that a body that broke off looks complete.
+func TestBrokenNameIsTakenForSuccess(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nCONTENT-TYPE\r\n"
+	expectError(t, map[string]string{
+		"blank after a name":            head + "X-Other : a\r\n\r\nBODY",
+		"blank in a name":               head + "X Other: a\r\n\r\nBODY",
+		"blank after Content-Length":    head + "Content-Length : 500\r\n\r\nBODY",
+		"blank after Transfer-Encoding": head + "Transfer-Encoding : chunked\r\n\r\nBODY",
+		"tab after a name":              head + "X-Other\t: a\r\n\r\nBODY",
+		"NUL in a name":                 head + "X-O\x00ther: a\r\n\r\nBODY",
+		"control byte in a name":        head + "X-O\x1fther: a\r\n\r\nBODY",
+		"CR in a name":                  head + "X-\rOther: a\r\n\r\nBODY",
+		"DEL in a name":                 head + "X-O\x7fther: a\r\n\r\nBODY",
+		"no name":                       head + ": a\r\n\r\nBODY",
+	})
+	expectSuccess(t, map[string]string{
+		"all bytes of a name":   head + "!#$%&'*+-.^_`|~09azAZ: b\r\n\r\nBODY",
+		"blanks around a value": head + "X-Other: \t a \r\n\r\nBODY",
+		"folded value":          head + "X-Other: a\r\n b : c\r\n\r\nBODY",
+		"empty value":           head + "X-Other:\r\n\r\nBODY",
+	})
+}
