Repeat orders whose answer breaks off

An order or a usage report counted as accepted by an answer with status 200 that broke off after its head; an order for an endpoint was closed without the VM. Found by playing bodies that break off to all readers; not seen in operation.

Cause: sqplatform.post dropped the body's error if the status was 200, since some answers have no body.

The body is read whole; with status 200 it may still be empty or no JSON, but neither it nor the JSON in it may break off.

--- a/io/sqplatform/sqplatform.go
+++ b/io/sqplatform/sqplatform.go
@@ -4,9 +4,11 @@
 package sqplatform
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -183,10 +185,20 @@
 	return decode(res.Body, dst)
 }
 
+// decode reads a whole body and decodes the JSON value at its beginning. The cause of its error
+// is io.EOF if the body is empty, and another one than *json.SyntaxError if the body or the
+// value in it broke off.
 func decode(r io.Reader, dst any) error {
-	err := json.NewDecoder(io.LimitReader(r, maxResponseBytes)).Decode(dst)
+	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	switch {
+	case err != nil:
+	case len(body) > maxResponseBytes:
+		err = bufio.ErrTooLong
+	default:
+		err = json.NewDecoder(bytes.NewReader(body)).Decode(dst)
+	}
 	if err != nil {
-		return sqerror.New(sqerror.Config{Kind: sqerror.BadResponse, Cause: err})
+		return sqerror.New(sqerror.Config{Kind: sqerror.BadResponse, Execution: sqerror.MayHaveRun, Cause: err})
 	}
 	return nil
 }
@@ -207,10 +219,18 @@
 	}
 	defer res.Body.Close()
 	a := OrderResponse{Status: res.StatusCode}
-	if err := decode(res.Body, &a); err != nil && res.StatusCode != http.StatusOK {
-		return a, err
+	err = decode(res.Body, &a)
+	if err == nil || res.StatusCode == http.StatusOK && isOtherText(err) {
+		return a, nil
 	}
-	return a, nil
+	return OrderResponse{}, err
+}
+
+// isOtherText reports whether a body that could not be decoded is whole but empty or no JSON,
+// as that of a response whose status says all.
+func isOtherText(err error) bool {
+	var syntax *json.SyntaxError
+	return errors.Is(err, io.EOF) || errors.As(err, &syntax)
 }
 
 func unreachable(err error) error {
