Tell the end of a response from a reset during the upload

An endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. Callers got the part as a complete answer, and streams ended as complete.

Cause: the kernel reports the failure of a connection to one system call. If that is the write of the upload, the next read returns the end of the stream, which ends a body without a length.

sqresponse.Conn remembers the errors of writes and returns them in place of io.EOF. If the peer had ended its bytes before, the error is EPIPE and the response is whole. All clients use it.

--- a/app/sqgateway/rawendpoint_test.go
+++ b/app/sqgateway/rawendpoint_test.go
@@ -36,6 +36,8 @@
 			if err != nil {
 				return
 			}
+			// With small buffers, a long request is still being written when the response comes.
+			_ = c.(*net.TCPConn).SetReadBuffer(16 << 10)
 			go e.handle(c.(*net.TCPConn), respond)
 		}
 	}()
--- a/io/sqendpoint/guard.go
+++ b/io/sqendpoint/guard.go
@@ -10,6 +10,7 @@
 
 	"sequoiadock/core/sqerror"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqresponse"
 )
 
 // WriteCheck decides, just before bytes of a request are written, whether they may
@@ -94,6 +95,8 @@
 // request to each write.
 type conn struct {
 	net.Conn
+	// socket is the connection below Conn.
+	socket  *sqresponse.Conn
 	tracker atomic.Pointer[writeTracker]
 }
 
@@ -130,7 +133,7 @@
 
 func (c *conn) write(s *writeTracker, p []byte) (int, error) {
 	if s.watchdog {
-		return c.writeWithWatchdog(s, p)
+		return c.socket.RecordWrite(func() (int, error) { return c.writeWithWatchdog(s, p) })
 	}
 	return c.Conn.Write(p)
 }
--- a/io/sqendpoint/sqendpoint.go
+++ b/io/sqendpoint/sqendpoint.go
@@ -83,10 +83,11 @@
 			if err != nil {
 				return nil, err
 			}
-			if byteCount != nil {
-				c = CountBytes(c, byteCount)
+			socket := sqresponse.NewConn(c)
+			if byteCount == nil {
+				return &conn{Conn: socket, socket: socket}, nil
 			}
-			return &conn{Conn: c}, nil
+			return &conn{Conn: CountBytes(socket, byteCount), socket: socket}, nil
 		},
 		MaxConnsPerHost:        maxConnections,
 		MaxIdleConnsPerHost:    maxConnections,
--- a/io/sqendpoint/watched.go
+++ b/io/sqendpoint/watched.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -18,7 +17,7 @@
 // the end of the permission and never writes. No watchdog is armed during the wait
 // for a full socket buffer, so a slow endpoint cannot trigger it.
 func (c *conn) writeWithWatchdog(s *writeTracker, p []byte) (int, error) {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return 0, err
 	}
--- a/io/sqguard/sqguard.go
+++ b/io/sqguard/sqguard.go
@@ -92,6 +92,7 @@
 		_ = c.Close()
 		return nil, err
 	}
+	guarded.Conn = sqresponse.NewConn(c)
 	return guarded, nil
 }
 
@@ -99,8 +100,8 @@
 type conn struct {
 	net.Conn
 	guard *Guard
-	// discards is set while closing the connection discards unsent bytes.
-	discards bool
+	// discarding is the socket while closing it discards unsent bytes, otherwise nil.
+	discarding *net.TCPConn
 }
 
 // boundDelivery makes the kernel discard bytes that were written but not acknowledged: after
@@ -123,7 +124,7 @@
 	if err = errors.Join(err, setErr); err != nil {
 		return err
 	}
-	c.discards = true
+	c.discarding = tcp
 	return tcp.SetLinger(0)
 }
 
@@ -131,9 +132,9 @@
 // arrived, so that the connection may end in the ordinary way.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && c.discards {
-		c.discards = false
-		_ = c.Conn.(*net.TCPConn).SetLinger(-1) // a failure ends the connection with a reset
+	if n > 0 && c.discarding != nil {
+		_ = c.discarding.SetLinger(-1) // a failure ends the connection with a reset
+		c.discarding = nil
 	}
 	return n, err
 }
--- a/io/sqguard/sqguard_test.go
+++ b/io/sqguard/sqguard_test.go
@@ -139,7 +139,7 @@
 	c, err := g.dial(t.Context(), "tcp", ln.Addr().String())
 	assert.NilError(t, err)
 	defer c.Close()
-	raw, err := c.(*conn).Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.(*conn).Conn.(syscall.Conn).SyscallConn()
 	assert.NilError(t, err)
 	assert.NilError(t, raw.Control(func(fd uintptr) {
 		timeout, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
--- a/io/sqhttp/client.go
+++ b/io/sqhttp/client.go
@@ -39,9 +39,8 @@
 	if cfg.IdleTimeout == 0 {
 		cfg.IdleTimeout = defaultIdleTimeout
 	}
-	dialer := &net.Dialer{Timeout: cfg.ConnectTimeout}
 	transport := sqresponse.NewTransport(&http.Transport{
-		DialContext: dialer.DialContext, IdleConnTimeout: cfg.IdleTimeout, DisableCompression: true,
+		DialContext: sqresponse.DialContext(&net.Dialer{Timeout: cfg.ConnectTimeout}), IdleConnTimeout: cfg.IdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes, DisableKeepAlives: cfg.CloseAfterUse,
 		MaxConnsPerHost: cfg.MaxConnections, MaxIdleConnsPerHost: cfg.MaxIdleConnections,
 	})
--- a/io/sqlink/conn.go
+++ b/io/sqlink/conn.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -39,7 +38,7 @@
 
 // conn is one connection to an endpoint.
 type conn struct {
-	nc      net.Conn
+	nc      *sqresponse.Conn
 	traffic *sqmeter.Traffic
 	limiter *headerLimiter
 	br      *bufio.Reader
@@ -74,7 +73,7 @@
 	return n, err
 }
 
-func newConn(nc net.Conn, traffic *sqmeter.Traffic) *conn {
+func newConn(nc *sqresponse.Conn, traffic *sqmeter.Traffic) *conn {
 	limiter := &headerLimiter{nc: nc, traffic: traffic, remaining: math.MaxInt64}
 	return &conn{nc: nc, traffic: traffic, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
@@ -91,7 +90,7 @@
 	if idle >= c.idleTimeout || maxIdle > 0 && idle >= maxIdle || c.br.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.nc.(syscall.Conn).SyscallConn()
+	raw, err := c.nc.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/io/sqlink/sqlink.go
+++ b/io/sqlink/sqlink.go
@@ -19,6 +19,7 @@
 	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqmeter"
+	"sequoiadock/io/sqresponse"
 )
 
 const (
@@ -210,7 +211,7 @@
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
 		})
 	}
-	c := newConn(nc, p.traffic)
+	c := newConn(sqresponse.NewConn(nc), p.traffic)
 	c.connectTime = sqclock.Now().Sub(startedAt)
 	return c, nil
 }
--- a/io/sqresponse/head.go
+++ b/io/sqresponse/head.go
@@ -1,7 +1,8 @@
 // Package sqresponse has the rule by which all HTTP clients of the project tell a sound
 // response from a broken one. net/http accepts more than HTTP/1.1 allows, so a client that
 // reads responses through it checks them here too: Transport does it for a whole client,
-// CheckHead for a response that was read otherwise.
+// CheckHead for a response that was read otherwise. Both read from a Conn, which tells the end
+// of a body from a connection that failed.
 package sqresponse
 
 import (
--- a/io/sqresponse/readers_test.go
+++ b/io/sqresponse/readers_test.go
@@ -39,9 +39,7 @@
 	t.Cleanup(endpoints.Close)
 	client := sqhttp.NewClient(sqhttp.ClientConfig{Timeout: testTimeout})
 	t.Cleanup(client.CloseIdleConnections)
-	guarded := sqguard.New(sqguard.Config{
-		Lease: func(now time.Time) (time.Time, bool) { return now.Add(time.Hour), true }, Now: sqclock.Now, Timeout: testTimeout, Fenced: true,
-	}).Client()
+	guarded := guardedClient()
 	return map[string]reader{
 		"endpoint of a gateway": {"{}", func(ctx context.Context, address string) error {
 			return readLink(ctx, address, nil)
@@ -91,6 +89,13 @@
 	}
 }
 
+// guardedClient returns a client of a lease holder.
+func guardedClient() *http.Client {
+	return sqguard.New(sqguard.Config{
+		Lease: func(now time.Time) (time.Time, bool) { return now.Add(time.Hour), true }, Now: sqclock.Now, Timeout: testTimeout, Fenced: true,
+	}).Client()
+}
+
 // readLink reads a response as a gateway does.
 func readLink(ctx context.Context, address string, body []byte) error {
 	res, err := sqlink.NewPool().Do(ctx, &sqlink.Call{
