Limit the bodies of responses between processes

Reported by another operator: an endpoint sent bytes without end, and the process that had called it kept them all and ran out of memory. Here that holds for endpoints and the platform, but not for calls between our own processes and for the operators' commands.

Cause: the generated clients read bodies with io.ReadAll, and nothing bounded them. Evidence: of nine readers and 16 kinds of endless responses, only these clients read on, and only in bodies.

sqresponse.NewTransport has a limit, and sqhttp.NewClient always sets one.

Before: TestEndlessResponseIsKept failed in 8 of 144 cases, with the 192 MB read at which the test stops. Now at most 48 MB are sent until the connection is closed. TestEndlessResponsesExhaustGateway also plays endless chunks and trailers, which held already: 101 MB at most, 128 MB allowed.

--- a/app/sqoperator/client.go
+++ b/app/sqoperator/client.go
@@ -35,6 +35,9 @@
 	retryInterval       = 150 * time.Millisecond
 )
 
+// maxResponseBytes limits a response: the whole state or configuration, or many decisions.
+const maxResponseBytes = 64 << 20
+
 // clusterClient sends requests to the control processes.
 type clusterClient struct {
 	addresses []string
@@ -62,7 +65,7 @@
 			Kind: sqerror.Usage, Detail: "no control process address is given", Advice: "give -controls ip:port,ip:port or set " + EnvControls,
 		})
 	}
-	client := sqhttp.NewClient(sqhttp.ClientConfig{ConnectTimeout: connectTimeout})
+	client := sqhttp.NewClient(sqhttp.ClientConfig{ConnectTimeout: connectTimeout, MaxBodyBytes: maxResponseBytes})
 	return &clusterClient{addresses: addresses, http: client}, nil
 }
 
--- a/io/sqendpoint/sqendpoint.go
+++ b/io/sqendpoint/sqendpoint.go
@@ -96,7 +96,7 @@
 		WriteBufferSize:        writeBufferBytes,
 		ReadBufferSize:         readBufferBytes,
 		DisableCompression:     true,
-	})
+	}, 0)
 }
 
 // CountBytes returns a connection that adds the bytes sent and received over c to
--- a/io/sqguard/sqguard.go
+++ b/io/sqguard/sqguard.go
@@ -77,7 +77,7 @@
 			DialContext:            g.dial,
 			DisableKeepAlives:      true,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		}),
+		}, 0),
 	}
 }
 
--- a/io/sqhttp/client.go
+++ b/io/sqhttp/client.go
@@ -13,6 +13,9 @@
 	defaultIdleTimeout = time.Minute
 	// maxResponseHeaderBytes limits the headers of a response.
 	maxResponseHeaderBytes = 64 << 10
+	// defaultMaxBodyBytes limits the body of a response. A VM with 128 MB can hold it, and the
+	// buffer that it grew from.
+	defaultMaxBodyBytes = 16 << 20
 )
 
 // ClientConfig configures a client.
@@ -27,6 +30,8 @@
 	// MaxConnections bounds the connections to one address, and MaxIdleConnections those of
 	// them that are kept when they are idle; 0 means the values of net/http.
 	MaxConnections, MaxIdleConnections int
+	// MaxBodyBytes bounds the body of a response; 0 means 16 MB.
+	MaxBodyBytes int64
 	// CloseAfterUse is set if each request gets a connection of its own.
 	CloseAfterUse bool
 }
@@ -39,10 +44,13 @@
 	if cfg.IdleTimeout == 0 {
 		cfg.IdleTimeout = defaultIdleTimeout
 	}
+	if cfg.MaxBodyBytes == 0 {
+		cfg.MaxBodyBytes = defaultMaxBodyBytes
+	}
 	transport := sqresponse.NewTransport(&http.Transport{
 		DialContext: sqresponse.DialContext(&net.Dialer{Timeout: cfg.ConnectTimeout}), IdleConnTimeout: cfg.IdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes, DisableKeepAlives: cfg.CloseAfterUse,
 		MaxConnsPerHost: cfg.MaxConnections, MaxIdleConnsPerHost: cfg.MaxIdleConnections,
-	})
+	}, cfg.MaxBodyBytes)
 	return &http.Client{Timeout: cfg.Timeout, Transport: meteredTransport{Transport: transport}}
 }
--- a/io/sqreplica/transport.go
+++ b/io/sqreplica/transport.go
@@ -28,6 +28,8 @@
 	responseWaitDivisor = 4
 	// minBytesPerSecond extends the timeout of a request by its size.
 	minBytesPerSecond = 4 << 20
+	// maxResponseBytes limits a response, which is empty or an error.
+	maxResponseBytes = 64 << 10
 )
 
 // TransportConfig configures a PeerTransport. Zero values select the defaults.
@@ -96,7 +98,7 @@
 	return &PeerTransport{
 		cfg: cfg, ctx: ctx, cancel: cancel, queues: map[destination]*queue{},
 		client: sqhttp.NewClient(sqhttp.ClientConfig{
-			ConnectTimeout: cfg.Timeout, IdleTimeout: idleConnTimeout, MaxConnections: maxConnsPerPeer,
+			ConnectTimeout: cfg.Timeout, IdleTimeout: idleConnTimeout, MaxConnections: maxConnsPerPeer, MaxBodyBytes: maxResponseBytes,
 		}),
 	}
 }
--- a/io/sqresponse/readers_test.go
+++ b/io/sqresponse/readers_test.go
@@ -27,6 +27,9 @@
 	body string
 	// call sends a request to the address and returns an error unless it succeeded.
 	call func(ctx context.Context, address string) error
+	// stopsReading is set if the reader takes the beginning of a long body for a success, since
+	// its caller passes on what it reads.
+	stopsReading bool
 }
 
 // maxResponseBytes is the longest body that the readers with a limit of their own accept.
@@ -43,13 +46,13 @@
 	return map[string]reader{
 		"endpoint of a gateway": {"{}", func(ctx context.Context, address string) error {
 			return readLink(ctx, address, nil)
-		}},
+		}, true},
 		"plain service of an entry": {"{}", func(ctx context.Context, address string) error {
 			_, err := endpoints.SendPlain(ctx, sqendpoint.PlainConfig{
 				Address: address, Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: []byte("x"), MaxResponseBytes: maxResponseBytes,
 			})
 			return err
-		}},
+		}, false},
 		"engine of an entry": {"data: {\"position\":0}\n\ndata: [DONE]\n\n", func(ctx context.Context, address string) error {
 			stream, err := endpoints.Chat(ctx, sqendpoint.ChatConfig{Address: address, FirstTokenTimeout: testTimeout, InterTokenTimeout: testTimeout})
 			if err != nil {
@@ -61,31 +64,31 @@
 					return err
 				}
 			}
-		}},
+		}, false},
 		"poll of an entry": {"{}", func(ctx context.Context, address string) error {
 			_, err := endpoints.PlainLoad(ctx, address)
 			return err
-		}},
+		}, false},
 		"list of the platform": {"{}", func(ctx context.Context, address string) error {
 			_, err := sqplatform.FetchVMs(ctx, client, address)
 			return err
-		}},
+		}, false},
 		"order to the platform": {"{}", func(ctx context.Context, address string) error {
 			_, err := sqplatform.SendEndpointOrder(ctx, guarded, address, sqplatform.EndpointOrder{})
 			return err
-		}},
+		}, false},
 		"order to an engine": {"{}", func(ctx context.Context, address string) error {
 			_, err := sqplatform.SendEngineOrder(ctx, guarded, address, sqplatform.EngineOrder{})
 			return err
-		}},
+		}, false},
 		"usage report": {"", func(ctx context.Context, address string) error {
 			_, err := sqplatform.ReportUsage(ctx, guarded, address, sqplatform.UsageReport{})
 			return err
-		}},
+		}, false},
 		"another process": {"", func(ctx context.Context, address string) error {
 			_, err := sqrpc.NewCoordinatorProtobufClient("http://"+address, client).Table(ctx, &sqrpc.TableRequest{})
 			return err
-		}},
+		}, false},
 	}
 }
 
--- a/io/sqresponse/reset_test.go
+++ b/io/sqresponse/reset_test.go
@@ -47,11 +47,11 @@
 	return map[string]reader{
 		"endpoint of a gateway": {"", func(ctx context.Context, address string) error {
 			return readLink(ctx, address, upload)
-		}},
-		"plain service of an entry":  {"", plain(false)},
-		"once-only call of an entry": {"", plain(true)},
-		"another process":            {"", uploadBy(client, upload)},
-		"order of a lease holder":    {"", uploadBy(guardedClient(), upload)},
+		}, false},
+		"plain service of an entry":  {"", plain(false), false},
+		"once-only call of an entry": {"", plain(true), false},
+		"another process":            {"", uploadBy(client, upload), false},
+		"order of a lease holder":    {"", uploadBy(guardedClient(), upload), false},
 	}
 }
 
--- a/io/sqwatch/controls.go
+++ b/io/sqwatch/controls.go
@@ -28,8 +28,11 @@
 
 func newHTTPClient(connectTimeout time.Duration) *http.Client {
 	const maxConnections = 32
+	// The whole configuration comes in one response.
+	const maxBodyBytes = 64 << 20
 	return sqhttp.NewClient(sqhttp.ClientConfig{
 		ConnectTimeout: connectTimeout, MaxConnections: maxConnections, MaxIdleConnections: maxConnections,
+		MaxBodyBytes: maxBodyBytes,
 	})
 }
 
