Answer requests at the end of a gateway's grace period

Reported by another operator: in a planned stop, requests were taken and passed on, and cut without an answer at the end of the grace period. Here, requests that came while callers still use the gateway and ran at the end got the end of the connection at 85% of the grace period; later ones on connections opened before got it at once.

Cause: the server closed all connections, and nobody told the handlers; and net/http closes a connection without an answer if a request comes on it after Shutdown has begun.

Now the listener is closed, and late requests on open connections are served if their deadline ends before the grace period, otherwise refused. Unfinished ones get 502, or 503 if they were not sent; streams are broken off. While a gateway stops, the time left of a request ends with the grace period.

Before, on: TestLateRequestIsCutAtEndOfGrace, TestLateRequestThatEndsInTime and TestRequestOutlastingGraceIsCut failed, all with unexpected EOF. Now they pass. Entries did this already (TestStopAnswersRequestsOutlastingGrace).

--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -46,9 +46,6 @@
 	// directory returns. Some cache them addressTTLOverrunFactor times as long.
 	addressTTLSeconds       = 1
 	addressTTLOverrunFactor = 3
-	// forcedClosePercent is the part of the grace period that is reserved for
-	// closing the connections of unfinished requests.
-	forcedClosePercent = 15
 	// headerTimeout limits the time to read the headers of a request, and
 	// idleTimeout the idle time of a caller's connection. idleTimeout is longer
 	// than any limit that operators declare.
@@ -133,6 +130,7 @@
 	freshness        *sqfreshness.Lease
 	awaitedTables    chan awaitedTable
 	shuttingDown     atomic.Bool
+	stop             stop
 	heartbeatTrigger chan struct{}
 	// heartbeatSoon is true while a heartbeat is scheduled before the next one is due.
 	heartbeatSoon atomic.Bool
@@ -198,6 +196,7 @@
 		origins:         sqorigin.NewLog(maxOrigins),
 		quotas:          newQuotaGate(cfg.Quota),
 	}
+	g.stop.grace, g.stop.endGrace = context.WithCancel(context.Background())
 	g.utilization = newUtilization(cfg.VM)
 	g.pool.CountTraffic(g.utilization.traffic)
 	g.startedAt = sqclock.Now()
@@ -238,7 +237,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		g.shutDown(callerServer)
+		g.shutDown(callerServer, listeners[0])
 	case err = <-serveErrs:
 	}
 	stopLoops()
@@ -250,26 +249,6 @@
 	return err
 }
 
-// shutDown shuts the gateway down gracefully. It still serves new requests for as
-// long as callers may cache the gateway's address, and then waits until the
-// requests in flight end or the grace period is nearly over.
-func (g *gateway) shutDown(callerServer *sqhttp.Server) {
-	startedAt := sqclock.Now()
-	g.shuttingDown.Store(true)
-	g.triggerHeartbeat()
-	drainTime := min(addressTTLSeconds*addressTTLOverrunFactor*time.Second, g.cfg.StopGracePeriod/2)
-	g.log.Event(sqevent.Stopping, roleName, g.cfg.Name, "signal")
-	g.log.Event(sqevent.GatewayStopping, drainTime.Milliseconds())
-	ctx := context.Background()
-	sqclock.Sleep(ctx, drainTime)
-	shutdownTimeout := g.cfg.StopGracePeriod*(100-forcedClosePercent)/100 - sqclock.Now().Sub(startedAt)
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancel()
-	if callerServer.Shutdown(ctx) != nil {
-		g.log.Event(sqevent.GatewayGraceExpired, g.metrics.running.Load())
-	}
-}
-
 // callerHandler returns the handler of callers' requests. It takes all paths.
 func (g *gateway) callerHandler() http.Handler {
 	e := echo.New()
--- a/app/sqgateway/harness_test.go
+++ b/app/sqgateway/harness_test.go
@@ -107,6 +107,23 @@
 // startTestSystemOnLink is startTestSystem with the link over which the lease holder
 // sends its responses. A nil link takes no time.
 func startTestSystemOnLink(t testing.TB, h *fakeLeaseHolder, l *link) *testSystem {
+	t.Helper()
+	s := newIdleTestSystem(t, h, l)
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { s.gateway.runHeartbeats(ctx) })
+	loops.Go(func() { s.gateway.fetchTables(ctx) })
+	s.callerServer = httptest.NewServer(s.gateway.callerHandler())
+	t.Cleanup(func() {
+		s.callerServer.Close()
+		cancel()
+		loops.Wait()
+	})
+	return s
+}
+
+// newIdleTestSystem returns a gateway that serves no callers and sends no heartbeats yet.
+func newIdleTestSystem(t testing.TB, h *fakeLeaseHolder, l *link) *testSystem {
 	t.Helper()
 	mux := http.NewServeMux()
 	service := sqrpc.NewCoordinatorServer(h)
@@ -120,6 +137,7 @@
 		coordinatorServer.Listener = slowListener{Listener: coordinatorServer.Listener, link: l}
 	}
 	coordinatorServer.Start()
+	t.Cleanup(coordinatorServer.Close)
 	logs := &logBuffer{}
 	g := newGateway(Config{
 		DrainTimeout: testDrainTimeout,
@@ -131,18 +149,7 @@
 		ReadyHandler:     func(func() bool) http.Handler { return http.NotFoundHandler() },
 		DirectoryHandler: func(sqcore.Directory) http.Handler { return http.NotFoundHandler() },
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	var loops sync.WaitGroup
-	loops.Go(func() { g.runHeartbeats(ctx) })
-	loops.Go(func() { g.fetchTables(ctx) })
-	callerServer := httptest.NewServer(g.callerHandler())
-	t.Cleanup(func() {
-		callerServer.Close()
-		cancel()
-		loops.Wait()
-		coordinatorServer.Close()
-	})
-	return &testSystem{holder: h, logs: logs, gateway: g, callerServer: callerServer}
+	return &testSystem{holder: h, logs: logs, gateway: g}
 }
 
 // waitFor waits until the condition holds, for 5 s at most.
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -57,7 +57,8 @@
 	// content is the hash of what all attempts at the request have in common.
 	content  string
 	deadline time.Time
-	// ctx ends at the deadline or when the caller disconnects.
+	// ctx ends at the deadline, when the caller disconnects, or at the end of the grace
+	// period of a gateway that stops.
 	ctx context.Context
 
 	triedEndpoints []string
@@ -103,8 +104,12 @@
 	if !x.admit() {
 		return
 	}
+	if x.refuseWhileStopping(sqclock.Now()) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.deadline.Sub(x.receivedAt))
 	defer cancel()
+	defer context.AfterFunc(g.stop.grace, cancel)()
 	x.ctx = ctx
 	if x.attempt.Resumes && x.route.Kind() == sqtable.Stream && !x.takeUpStream() {
 		return
@@ -238,8 +243,15 @@
 	return defaultMaxBodyBytes
 }
 
-// timeLeft returns the time until the deadline.
-func (x *request) timeLeft(now time.Time) time.Duration { return x.deadline.Sub(now) }
+// timeLeft returns the time until the deadline, or until the end of the grace period of a
+// gateway that stops.
+func (x *request) timeLeft(now time.Time) time.Duration {
+	left := x.deadline.Sub(now)
+	if grace, stops := x.g.stop.graceLeft(now); stops {
+		return min(left, grace)
+	}
+	return left
+}
 
 // callerDisconnected reports whether the caller has closed its connection.
 func (x *request) callerDisconnected() bool { return x.r.Context().Err() != nil }
--- a/app/sqgateway/send.go
+++ b/app/sqgateway/send.go
@@ -282,6 +282,8 @@
 // answered.
 func (x *request) finishUnanswered(step sqattempt.Step, reason string, retryAfter time.Duration) {
 	switch {
+	case step != sqattempt.Refuse && x.g.stop.grace.Err() != nil:
+		x.fail(http.StatusBadGateway, "the gateway stops")
 	case step != sqattempt.Refuse && x.ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, "the deadline passed")
 	case step != sqattempt.Refuse:
--- a/io/sqhttp/conn.go
+++ b/io/sqhttp/conn.go
@@ -60,7 +60,7 @@
 // admit returns the connection, or nil if there is no room for it.
 func (s *Server) admit(tcp *net.TCPConn) *conn {
 	now := sqclock.Now()
-	if s.openConnections() >= s.maxConnections && !s.guard.budget.EvictFrom(now, s.cfg.Name) {
+	if s.OpenConnections() >= s.maxConnections && !s.guard.budget.EvictFrom(now, s.cfg.Name) {
 		return nil
 	}
 	s.mu.Lock()
--- a/io/sqhttp/guard.go
+++ b/io/sqhttp/guard.go
@@ -149,7 +149,7 @@
 	s.evicted = set.NewCounter("sequoiadock_memory_refusals" + name + `,reason="evicted"}`)
 	s.refusedRequests = set.NewCounter("sequoiadock_memory_refusals" + name + `,reason="memory"}`)
 	s.refusedConnections = set.NewCounter("sequoiadock_memory_refusals" + name + `,reason="connections"}`)
-	set.NewGauge("sequoiadock_listener_connections"+name+"}", func() float64 { return float64(s.openConnections()) })
+	set.NewGauge("sequoiadock_listener_connections"+name+"}", func() float64 { return float64(s.OpenConnections()) })
 	set.NewGauge("sequoiadock_listener_connections_limit"+name+"}", func() float64 { return float64(s.maxConnections) })
 	return s
 }
@@ -159,7 +159,8 @@
 	return s.Server.Serve(&listener{Listener: ln, server: s})
 }
 
-func (s *Server) openConnections() int {
+// OpenConnections returns the number of open connections.
+func (s *Server) OpenConnections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.open
@@ -181,6 +182,6 @@
 	g.eventAt, g.unreported, g.hasReported = now, 0, true
 	g.mu.Unlock()
 	if g.cfg.Log != nil {
-		g.cfg.Log.Event(sqevent.CallerOverMemory, s.cfg.Name, address.String(), reason, g.budget.UsedBytes(), g.budget.Limit(), s.openConnections(), s.maxConnections, unreported)
+		g.cfg.Log.Event(sqevent.CallerOverMemory, s.cfg.Name, address.String(), reason, g.budget.UsedBytes(), g.budget.Limit(), s.OpenConnections(), s.maxConnections, unreported)
 	}
 }
--- a/io/sqhttp/guard_test.go
+++ b/io/sqhttp/guard_test.go
@@ -224,7 +224,7 @@
 		g.open(t, "GET /")
 	}
 	for end := time.Now().Add(testTimeout); ; time.Sleep(10 * time.Millisecond) {
-		assert.Assert(t, g.server.openConnections() <= g.server.maxConnections)
+		assert.Assert(t, g.server.OpenConnections() <= g.server.maxConnections)
 		res, err := NewClient(ClientConfig{Timeout: testTimeout}).Get("http://" + g.address)
 		if err == nil {
 			assert.NilError(t, res.Body.Close())
@@ -233,7 +233,7 @@
 		}
 		assert.Assert(t, time.Now().Before(end), "no connection was accepted")
 	}
-	assert.Assert(t, g.server.evicted.Get() > 0 && g.server.refusedConnections.Get() > 0, "%d evicted, %d refused, %d open of %d", g.server.evicted.Get(), g.server.refusedConnections.Get(), g.server.openConnections(), g.server.maxConnections)
+	assert.Assert(t, g.server.evicted.Get() > 0 && g.server.refusedConnections.Get() > 0, "%d evicted, %d refused, %d open of %d", g.server.evicted.Get(), g.server.refusedConnections.Get(), g.server.OpenConnections(), g.server.maxConnections)
 }
 
 // TestCountedBodyIsBounded fails if a handler that reads bodies by itself can take more than
