--- a/app/sqgateway/gateway.go
+++ b/app/sqgateway/gateway.go
@@ -130,7 +130,7 @@
 	freshness        *sqfreshness.Lease
 	awaitedTables    chan awaitedTable
 	shuttingDown     atomic.Bool
-	stop             stop
+	stop             gracefulStop
 	heartbeatTrigger chan struct{}
 	// heartbeatSoon is true while a heartbeat is scheduled before the next one is due.
 	heartbeatSoon atomic.Bool
--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -109,7 +109,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.deadline.Sub(x.receivedAt))
 	defer cancel()
-	defer context.AfterFunc(g.stop.grace, cancel)()
+	stopWatching := context.AfterFunc(g.stop.grace, cancel)
+	defer stopWatching()
 	x.ctx = ctx
 	if x.attempt.Resumes && x.route.Kind() == sqtable.Stream && !x.takeUpStream() {
 		return
--- a/app/sqgateway/stop.go
+++ b/app/sqgateway/stop.go
@@ -21,8 +21,8 @@
 	stopPollInterval = 20 * time.Millisecond
 )
 
-// stop is the state of a graceful shutdown.
-type stop struct {
+// gracefulStop is the state of a graceful shutdown.
+type gracefulStop struct {
 	times atomic.Pointer[stopTimes]
 	// grace ends when unfinished requests have to be answered.
 	grace    context.Context
@@ -69,7 +69,7 @@
 
 // graceLeft returns the time at now until unfinished requests have to be answered, and false if
 // the gateway does not stop.
-func (s *stop) graceLeft(now time.Time) (time.Duration, bool) {
+func (s *gracefulStop) graceLeft(now time.Time) (time.Duration, bool) {
 	times := s.times.Load()
 	if times == nil {
 		return 0, false
--- a/io/sqresponse/head.go
+++ b/io/sqresponse/head.go
@@ -20,14 +20,17 @@
 	maxStatus = 599
 )
 
+// maxExcerptBytes is how much of a broken head an error message quotes.
+const maxExcerptBytes = 40
+
 // CheckHead returns an error unless the status line and the names of the headers are sound. The
 // error is of kind BadResponse with execution MayHaveRun.
 func CheckHead(res *http.Response) error {
 	switch {
 	case res.ProtoMajor != 1:
-		return badResponse("the version of the response is " + strconv.Quote(res.Proto))
+		return badResponse("the version of the response is " + excerpt(res.Proto))
 	case res.StatusCode < minStatus || res.StatusCode > maxStatus:
-		return badResponse("the status of the response is " + strconv.Quote(res.Status))
+		return badResponse("the status of the response is " + excerpt(res.Status))
 	case res.StatusCode == http.StatusSwitchingProtocols:
 		// No client of the project asks for another protocol.
 		return badResponse("the response switches protocols")
@@ -36,12 +39,17 @@
 		// net/http accepts names with blanks. Among them could be a length that was meant to
 		// delimit the body.
 		if !httpguts.ValidHeaderFieldName(name) {
-			return badResponse("the response has a header with the name " + strconv.Quote(name))
+			return badResponse("the response has a header with the name " + excerpt(name))
 		}
 	}
 	return nil
 }
 
+// excerpt quotes the beginning of a text for an error message.
+func excerpt(text string) string {
+	return strconv.Quote(text[:min(len(text), maxExcerptBytes)])
+}
+
 func badResponse(detail string) error {
 	return sqerror.New(sqerror.Config{Kind: sqerror.BadResponse, Execution: sqerror.MayHaveRun, Detail: detail})
 }
--- a/io/sqresponse/head_test.go
+++ b/io/sqresponse/head_test.go
@@ -1,6 +1,16 @@
 package sqresponse_test
 
-import "testing"
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiadock/core/sqerror"
+)
 
 // TestBrokenStatusIsTakenForSuccess fails if a reader accepts a response whose status line is
 // none, or takes it for an informational response.
@@ -48,3 +58,18 @@
 		"empty value":           head + "X-Other:\r\n\r\nBODY",
 	})
 }
+
+// TestErrorQuotesWholeHead fails if the error for a broken head repeats all that an endpoint sent,
+// so that it fills the logs.
+func TestErrorQuotesWholeHead(t *testing.T) {
+	long := strings.Repeat("x", 20<<10)
+	for name, bytes := range map[string]string{
+		"status": "HTTP/1.1 000 " + long + "\r\n\r\n",
+		"name":   "HTTP/1.1 200 OK\r\nX " + long + ": a\r\n\r\n",
+	} {
+		address := serveRaw(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, bytes) })
+		err := readLink(t.Context(), address, nil)
+		assert.Equal(t, sqerror.KindOf(err), sqerror.BadResponse, name)
+		assert.Assert(t, len(err.Error()) < 200, "%s: %d bytes", name, len(err.Error()))
+	}
+}
