Take a whole response that comes while an entry still writes the request

A plain service that answers a long request without reading the rest got no answer to its caller: the entry held it back until the deadline, or lost it when the service closed the connection.

Cause: the entry waits for the check that follows each write, and the write does not end.

While the write is under way, the permission of its last check is compared with the present time. If it has expired, the entry waits as before.

--- a/io/sqendpoint/chat.go
+++ b/io/sqendpoint/chat.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sequoiadock/core/sqerror"
+	"sequoiadock/io/sqclock"
 )
 
 // Message is one message of a prompt.
@@ -105,7 +106,7 @@
 	resp, err := c.postJSON(s.withTrace(ctx), "http://"+cfg.Address+"/v1/chat/completions", body)
 	if err != nil {
 		err = roundTripError(ctx, s, err)
-	} else if err = s.errAfterWrite(); err != nil {
+	} else if err = s.errAfterWrite(sqclock.Now()); err != nil {
 		resp.Body.Close()
 	} else if resp.StatusCode != http.StatusOK {
 		err = statusError(resp)
--- a/io/sqendpoint/guard.go
+++ b/io/sqendpoint/guard.go
@@ -31,6 +31,8 @@
 	started bool
 	closed  bool
 	err     error
+	// until is the end of the permission that the last write check gave.
+	until time.Time
 }
 
 // close reports whether a byte may have reached the endpoint. An abandoned round
@@ -57,13 +59,27 @@
 
 // errAfterWrite returns the error of a write whose permission had expired when the
 // write returned, or nil. A response may arrive before the check after the write,
-// so errAfterWrite waits for that check.
-func (s *writeTracker) errAfterWrite() error {
-	s.writeMu.Lock()
+// so errAfterWrite waits for that check, unless the permission has not expired at
+// now: the endpoint may respond without reading the rest of the request, and
+// what was written until now was permitted.
+func (s *writeTracker) errAfterWrite(now time.Time) error {
+	if !s.writeMu.TryLock() {
+		if s.permittedAt(now) {
+			return s.checkErr()
+		}
+		s.writeMu.Lock()
+	}
 	defer s.writeMu.Unlock()
 	return s.checkErr()
 }
 
+// permittedAt reports whether the last write check permitted writes at now.
+func (s *writeTracker) permittedAt(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.until.IsZero() || now.Before(s.until)
+}
+
 // checkErr returns the error by which a write check stopped the request, or nil.
 func (s *writeTracker) checkErr() error {
 	s.mu.Lock()
@@ -145,8 +161,12 @@
 	until, err := s.writeCheck(now)
 	if err != nil {
 		s.setErr(err)
+		return until, err
 	}
-	return until, err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = until
+	return until, nil
 }
 
 func (c *conn) checkAfterWrite(s *writeTracker, until time.Time) error {
--- a/io/sqendpoint/plain.go
+++ b/io/sqendpoint/plain.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"sequoiadock/core/sqerror"
+	"sequoiadock/io/sqclock"
 )
 
 // PlainConfig configures a request to a plain service.
@@ -58,7 +59,7 @@
 		return nil, roundTripError(ctx, s, err)
 	}
 	defer resp.Body.Close()
-	if err := s.errAfterWrite(); err != nil {
+	if err := s.errAfterWrite(sqclock.Now()); err != nil {
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotStarted) == "true" {
--- a/io/sqendpoint/sqendpoint.go
+++ b/io/sqendpoint/sqendpoint.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sequoiadock/core/sqerror"
+	"sequoiadock/io/sqclock"
 	"sequoiadock/io/sqresponse"
 )
 
@@ -192,7 +193,7 @@
 		return roundTripError(ctx, s, err)
 	}
 	defer resp.Body.Close()
-	if err := s.errAfterWrite(); err != nil {
+	if err := s.errAfterWrite(sqclock.Now()); err != nil {
 		return err
 	}
 	if resp.StatusCode != http.StatusOK {
