Tests of broken heads: close connections as announced, fewer listeners

The readers' tests use one listener for each reader; run many times over, the ports of 127.0.0.1 had run out.

--- a/app/sqgateway/brokenhead_test.go
+++ b/app/sqgateway/brokenhead_test.go
@@ -78,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			bad := newRawEndpoint(t, rawResponse(bytes))
-			good := newRawEndpoint(t, rawResponse(rawHead+"Content-Length: 5\r\n\r\nright"))
+			good := newRawEndpoint(t, rawResponse(rawHead+"Connection: close\r\nContent-Length: 5\r\n\r\nright"))
 			s := newTestSystem(t, bad.fleetEntry("i1", "ledger"), good.fleetEntry("i2", "ledger"))
 			for n := 0; bad.received() == 0; n++ {
 				assert.Assert(t, n < 200, "no request reached the broken endpoint")
--- a/io/sqresponse/readers_test.go
+++ b/io/sqresponse/readers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,12 +162,14 @@
 	t.Helper()
 	errs := map[string]error{}
 	for readerName, r := range readers(t) {
+		var response atomic.Value
+		address := serveRaw(t, func(c *net.TCPConn, req *http.Request) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, response.Load().(string))
+		})
 		for name, bytes := range responses {
 			bytes = strings.ReplaceAll(bytes, "CONTENT-TYPE", "Content-Type: "+contentType(r))
-			address := serveRaw(t, func(c *net.TCPConn, req *http.Request) {
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(c, strings.ReplaceAll(bytes, "BODY", r.body))
-			})
+			response.Store(strings.ReplaceAll(bytes, "BODY", r.body))
 			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 			errs[readerName+": "+name] = r.call(ctx, address)
 			assert.NilError(t, ctx.Err())
