Refuse all late requests of a gateway that stops

From that moment on, requests on open connections are refused before anything is sent on, also those whose deadline ends in time, which served.

--- a/app/sqgateway/request.go
+++ b/app/sqgateway/request.go
@@ -104,7 +104,7 @@
 	if !x.admit() {
 		return
 	}
-	if x.refuseWhileStopping(sqclock.Now()) {
+	if x.refuseWhileStopping() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.deadline.Sub(x.receivedAt))
--- a/app/sqgateway/stop.go
+++ b/app/sqgateway/stop.go
@@ -24,27 +24,27 @@
 // gracefulStop is the state of a graceful shutdown.
 type gracefulStop struct {
 	times atomic.Pointer[stopTimes]
+	// refusing is set once callers no longer use the gateway's address.
+	refusing atomic.Bool
 	// grace ends when unfinished requests have to be answered.
 	grace    context.Context
 	endGrace context.CancelFunc
 }
 
-// stopTimes are the times of a graceful shutdown.
+// stopTimes holds when a graceful shutdown ends.
 type stopTimes struct {
-	// drained is when callers no longer use the gateway's address.
-	drained time.Time
 	// expired is when unfinished requests have to be answered.
 	expired time.Time
 }
 
 // shutDown shuts the gateway down gracefully. It still serves all new requests for as long as
-// callers may cache the gateway's address. From then on it accepts no connections, serves
-// the requests on open ones that are answered in time anyway, and refuses the others. Requests
-// that are unfinished when the grace period is nearly over are answered without a result.
+// callers may cache the gateway's address. From then on it accepts no connections and refuses
+// the requests on open ones. Requests that are unfinished when the grace period is nearly over
+// are answered without a result.
 func (g *gateway) shutDown(callers *sqhttp.Server, ln net.Listener) {
 	now := sqclock.Now()
 	drainTime := min(addressTTLSeconds*addressTTLOverrunFactor*time.Second, g.cfg.StopGracePeriod/2)
-	times := &stopTimes{drained: now.Add(drainTime), expired: now.Add(g.cfg.StopGracePeriod * (100 - forcedClosePercent) / 100)}
+	times := &stopTimes{expired: now.Add(g.cfg.StopGracePeriod * (100 - forcedClosePercent) / 100)}
 	g.stop.times.Store(times)
 	g.shuttingDown.Store(true)
 	g.triggerHeartbeat()
@@ -53,6 +53,9 @@
 	ctx := context.Background()
 	sqclock.Sleep(ctx, drainTime)
 	_ = ln.Close()
+	// The next line closes idle connections, also one on which a request has just been read.
+	// Such a request must not be sent on.
+	g.stop.refusing.Store(true)
 	callers.SetKeepAlivesEnabled(false)
 	for callers.OpenConnections() > 0 && sqclock.Now().Before(times.expired) {
 		sqclock.Sleep(ctx, stopPollInterval)
@@ -77,11 +80,10 @@
 	return times.expired.Sub(now), true
 }
 
-// refuseWhileStopping refuses a request that came when callers no longer use the gateway, unless
-// it ends in time whatever its endpoint does. It returns true if the request was refused.
-func (x *request) refuseWhileStopping(now time.Time) bool {
-	times := x.g.stop.times.Load()
-	if times == nil || now.Before(times.drained) || x.deadline.Before(times.expired) {
+// refuseWhileStopping refuses a request that came when callers no longer use the gateway. It
+// returns true if the request was refused.
+func (x *request) refuseWhileStopping() bool {
+	if !x.g.stop.refusing.Load() {
 		return false
 	}
 	x.refuse(http.StatusServiceUnavailable, "the gateway stops", defaultRetryAfter)
