Coordinator tests: each group its own loopback network

The networks were drawn at random among 50,000, so two groups of one process could have the same; that this happened is likely, not proved. They are counted now, from a random one on.

--- a/app/sqcoordinator/harness_test.go
+++ b/app/sqcoordinator/harness_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,12 +107,27 @@
 	done   chan error
 }
 
+// networks is how many loopback networks the groups of this process can have.
+const networks = 200 * 250
+
+// firstNetwork is drawn, since other processes may run tests too; lastNetwork counts on from it.
+var (
+	firstNetwork = rand.IntN(networks)
+	lastNetwork  atomic.Int64
+)
+
+// nextNetwork returns the prefix of a loopback network that no other group of this process has.
+func nextNetwork() string {
+	n := (firstNetwork + int(lastNetwork.Add(1))) % networks
+	return fmt.Sprintf("127.%d.%d.", 10+n/250, n%250)
+}
+
 // newGroup starts coordinators 1 to 3 for the first time, in the given order. Each has
 // its own loopback address, so that its ports cannot be in use already.
 func newGroup(t testing.TB, order ...int) *group {
 	g := &group{
 		t: t, platform: &fakePlatform{reports: map[uint64][]sqwindow.Count{}}, nodes: map[int]*node{},
-		addressPrefix: fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), rand.IntN(250)),
+		addressPrefix: nextNetwork(),
 	}
 	for _, i := range []int{1, 2, 3} {
 		g.seeds = append(g.seeds, g.internalAddress(i))
