--- a/review/11/standin/deployment.go
+++ b/review/11/standin/deployment.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	coordinatorCount = 3
-	gatewayCount     = 3
+	gatewayCount = 3
+	// seedCount is how many coordinators the settings name.
+	seedCount = 3
 	// Hosts of the deployment, as the last byte of a loopback address.
 	firstCoordinatorHost = 1
 	firstGatewayHost     = 11
@@ -47,8 +48,31 @@
 	done                  chan struct{}
 }
 
+// shape is the size of the control plane.
+type shape struct {
+	// coordinators is how many processes there are, tolerated how many may be lost at once.
+	coordinators, tolerated int
+	// contracts are those in force, fenced says whether receivers check fences. The others are
+	// bounds.
+	contracts                                  string
+	fenced                                     bool
+	retryExtra, configApplyMillis, drainMillis int
+}
+
+// smallShape and grownShape are those of the sites crrf-dock and kloofnek-dock-grown.
+var (
+	smallShape = shape{coordinators: 3, tolerated: 1, contracts: smallContracts, fenced: true, retryExtra: 54, configApplyMillis: 2000, drainMillis: 3000}
+	grownShape = shape{coordinators: 6, tolerated: 2, contracts: grownContracts, retryExtra: 186, configApplyMillis: 2500, drainMillis: 4000}
+)
+
+const (
+	smallContracts = `["base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "tenants", "leader"]`
+	grownContracts = `["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "split", "stream", "engine", "tenants", "leader", "pressure"]`
+)
+
 // deployment is the project's processes with what they need.
 type deployment struct {
+	shape     shape
 	record    *record
 	binary    string
 	folder    string
@@ -60,12 +84,12 @@
 }
 
 // newDeployment picks a free loopback network and a temporary folder.
-func newDeployment(r *record, binary string) (*deployment, error) {
+func newDeployment(r *record, binary string, s shape) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review3-")
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{record: r, binary: binary, folder: folder, processes: map[string]*process{}}
+	d := &deployment{shape: s, record: r, binary: binary, folder: folder, processes: map[string]*process{}}
 	for range 50 {
 		d.network = fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), 1+rand.IntN(250))
 		d.base = 20000 + rand.IntN(10000)
@@ -95,16 +119,13 @@
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-// contracts are those of the site file that the claims name.
-const contracts = `["base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "tenants", "leader"]`
-
 // Memory of the VMs, in megabytes.
 const coreMegabytes, frontMegabytes = 280, 284
 
 // settings returns the settings file of a process, as the templates of the deploy file make it.
 func (d *deployment) settings(name string, host, megabytes int, sections string) string {
 	seeds := []string{}
-	for i := range coordinatorCount {
+	for i := range seedCount {
 		seeds = append(seeds, fmt.Sprintf("%q", d.address(firstCoordinatorHost+i, portControl)))
 	}
 	return fmt.Sprintf(`[node]
@@ -121,7 +142,7 @@
 [cluster]
 seeds = [%s]
 seedPort = %d
-tolerated = 1
+tolerated = %d
 
 [bounds]
 revokeMillis = 5000
@@ -129,9 +150,9 @@
 windowSeconds = 5
 graceSeconds = 8
 retryRatio = 0.2
-retryExtra = 54
+retryExtra = %d
 retryWindowSeconds = 10
-%s`, name, zones[host%len(zones)], d.address(host, portInternal), megabytes, contracts, strings.Join(seeds, ", "), d.base+portInternal, sections)
+%s`, name, zones[host%len(zones)], d.address(host, portInternal), megabytes, d.shape.contracts, strings.Join(seeds, ", "), d.base+portInternal, d.shape.tolerated, d.shape.retryExtra, sections)
 }
 
 func (d *deployment) startCoordinator(i int, firstStart bool) error {
@@ -140,7 +161,7 @@
 	if err := os.MkdirAll(data, 0o700); err != nil {
 		return err
 	}
-	return d.start(name, "coordinator", d.settings(name, host, coreMegabytes, fmt.Sprintf(`fencedReceivers = true
+	return d.start(name, "coordinator", d.settings(name, host, coreMegabytes, fmt.Sprintf(`fencedReceivers = %v
 
 [coordinator]
 operators = %q
@@ -149,19 +170,19 @@
 
 [platform]
 address = %q
-`, d.address(host, portControl), data, firstStart, d.address(platformHost, portPlatform))))
+`, d.shape.fenced, d.address(host, portControl), data, firstStart, d.address(platformHost, portPlatform))))
 }
 
 func (d *deployment) startGateway(i int) error {
 	name, host := fmt.Sprintf("front-%d", i+1), firstGatewayHost+i
-	return d.start(name, "gateway", d.settings(name, host, frontMegabytes, fmt.Sprintf(`configApplyMillis = 2000
-drainMillis = 3000
+	return d.start(name, "gateway", d.settings(name, host, frontMegabytes, fmt.Sprintf(`configApplyMillis = %d
+drainMillis = %d
 
 [gateway]
 callers = %q
 ready = %q
 directory = %q
-`, d.address(host, portFront), d.address(host, portReady), d.address(host, portDirectory))))
+`, d.shape.configApplyMillis, d.shape.drainMillis, d.address(host, portFront), d.address(host, portReady), d.address(host, portDirectory))))
 }
 
 // start starts a process with the command of the deploy file.
@@ -205,7 +226,7 @@
 	if d.platform, err = startPlatform(d.record, d.address(platformHost, portPlatform)); err != nil {
 		return err
 	}
-	for i := range coordinatorCount {
+	for i := range d.shape.coordinators {
 		if err := d.startCoordinator(i, true); err != nil {
 			return err
 		}
@@ -241,7 +262,7 @@
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	until := time.Now().Add(within)
 	for i := 0; time.Now().Before(until); i++ {
-		url := "http://" + d.address(firstCoordinatorHost+i%coordinatorCount, portControl) + "/sequoiadock/config"
+		url := "http://" + d.address(firstCoordinatorHost+i%d.shape.coordinators, portControl) + "/sequoiadock/config"
 		req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader([]byte(manifest)))
 		if err != nil {
 			return err
--- a/review/11/standin/harmfulburst.go
+++ b/review/11/standin/harmfulburst.go
@@ -45,16 +45,9 @@
 	clients.Wait()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	late := 0
-	if len(o.crashedAt) >= deadlyBurst {
-		for _, at := range o.harmfulAt {
-			if at.After(o.crashedAt[deadlyBurst-1].Add(contact)) {
-				late++
-			}
-		}
-	}
-	d.record.printf("%d crashes; requests with the part that reached workers: %d, of them later than contactMs after the fifth crash: %d",
-		len(o.crashedAt), len(o.harmfulAt), late)
+	late := o.later(o.harmfulAt)
+	d.record.printf("%d crashes; requests with the part that reached workers: %d, of them later than contactMs after the fifth crash: %d; sound requests without a whole answer then: %d",
+		len(o.crashedAt), len(o.harmfulAt), late, o.later(o.brokenAt))
 	if trouble && len(o.crashedAt) < deadlyBurst {
 		return false, fmt.Errorf("fewer than %d crashes", deadlyBurst)
 	}
--- a/review/11/standin/harmfulpart.go
+++ b/review/11/standin/harmfulpart.go
@@ -44,8 +44,9 @@
 	dir    *directory
 	starts atomic.Int64
 	mu     sync.Mutex
-	// crashedAt holds when workers crashed, harmfulAt when requests with the part reached one.
-	crashedAt, harmfulAt []time.Time
+	// crashedAt holds when workers crashed, harmfulAt when requests with the part reached one,
+	// and brokenAt when sound requests ended without a whole answer.
+	crashedAt, harmfulAt, brokenAt []time.Time
 }
 
 // startDeployment starts the workers, declares the manifest and waits until gateways serve.
@@ -96,9 +97,28 @@
 func (o *outbreak) ask(who, key, parts string) bool {
 	t := send(o.dir, ask{path: "/ask/x", key: key, prefix: fmt.Sprintf("%s,%08x:8", parts, rand.Uint32()), deadline: streamTimeout})
 	o.d.record.printf("client: %s %s to %s: status %d, %d events, whole %v, retry after %v, %s", who, t.id, t.address, t.status, len(t.events), t.whole, t.retryAfter, t.err)
+	if who != "deadly" && (t.status/100 != 2 || !t.whole) {
+		o.mu.Lock()
+		o.brokenAt = append(o.brokenAt, time.Now())
+		o.mu.Unlock()
+	}
 	return len(t.events) > 0
 }
 
+// later returns how many of the times are later than contactMs after the fifth crash.
+func (o *outbreak) later(times []time.Time) int {
+	if len(o.crashedAt) < deadlyBurst {
+		return 0
+	}
+	n := 0
+	for _, at := range times {
+		if at.After(o.crashedAt[deadlyBurst-1].Add(contact)) {
+			n++
+		}
+	}
+	return n
+}
+
 func (o *outbreak) askSound() bool {
 	return o.ask("sound", "key-1", firstPart+":24,"+otherPart+":8")
 }
--- a/review/11/standin/main.go
+++ b/review/11/standin/main.go
@@ -18,21 +18,25 @@
 	exitNotRun = 2
 )
 
-// scenario plays one case and reports whether the rule was broken.
-type scenario func(d *deployment, trouble bool) (broken bool, err error)
+// scenario is one case. It plays it and reports whether the rule was broken.
+type scenario struct {
+	shape shape
+	play  func(d *deployment, trouble bool) (broken bool, err error)
+}
 
 var scenarios = map[string]scenario{
-	"sameIdentity":   playSameIdentity,
-	"harmfulPart":    playHarmfulPart,
-	"harmfulBurst":   playHarmfulBurst,
-	"harmfulRequest": playHarmfulRequest,
-	"upgrade":        playUpgrade,
-	"manyChanges":    playManyChanges,
+	"harmfulBurst":    {smallShape, playHarmfulBurst},
+	"harmfulPart":     {smallShape, playHarmfulPart},
+	"harmfulRequest":  {smallShape, playHarmfulRequest},
+	"manyChanges":     {smallShape, playManyChanges},
+	"sameIdentity":    {smallShape, playSameIdentity},
+	"slowReplacement": {grownShape, playSlowReplacement},
+	"upgrade":         {smallShape, playUpgrade},
 }
 
 // main takes the name of a scenario, the project's program and the path of the record.
 func main() {
-	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
+	if len(os.Args) != 4 || scenarios[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-3 SCENARIO PROGRAM RECORD")
 		os.Exit(exitNotRun)
 	}
@@ -45,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	d, err := newDeployment(r, program)
+	d, err := newDeployment(r, program, scenarios[name].shape)
 	if err != nil {
 		r.printf("not run: %v", err)
 		return exitNotRun
@@ -64,7 +68,7 @@
 		r.printf("not run: %v", err)
 		return exitNotRun
 	}
-	broken, err := scenarios[name](d, os.Getenv("TROUBLE") != "0")
+	broken, err := scenarios[name].play(d, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
 		r.printf("not run: %v", err)
--- a/review/11/standin/manychanges.go
+++ b/review/11/standin/manychanges.go
@@ -106,7 +106,7 @@
 	m := &memoryWatch{d: d, ends: map[int]int{}}
 	stop := make(chan struct{})
 	var watches sync.WaitGroup
-	for i := range coordinatorCount {
+	for i := range d.shape.coordinators {
 		watches.Go(func() { m.run(stop, i) })
 	}
 	changes := manyChangeCount
@@ -121,7 +121,7 @@
 			return false, err
 		}
 		if v%20 == 0 {
-			for i := range coordinatorCount {
+			for i := range d.shape.coordinators {
 				p := d.process(fmt.Sprintf("core-%d", i+1))
 				d.record.printf("after change %d: %s holds %d MB", v, p.name, residentBytes(p.cmd.Process.Pid)>>20)
 			}
@@ -134,6 +134,6 @@
 	for _, n := range m.ends {
 		total += n
 	}
-	d.record.printf("%d coordinators of %d ended for their memory, %d times in all", len(m.ends), coordinatorCount, total)
-	return 2*len(m.ends) >= coordinatorCount && total > maxEnds, m.err
+	d.record.printf("%d coordinators of %d ended for their memory, %d times in all", len(m.ends), d.shape.coordinators, total)
+	return 2*len(m.ends) >= d.shape.coordinators && total > maxEnds, m.err
 }
