--- a/review/11/standin/slowreplacement.go
+++ b/review/11/standin/slowreplacement.go
@@ -13,7 +13,9 @@
 
 const (
 	// growthChanges is how many versions of the manifest are sent before disks are lost.
-	growthChanges = 520
+	growthChanges = 480
+	// maxGrowthTime bounds the time in which they are sent.
+	maxGrowthTime = 70 * time.Second
 	// wipeDown is how long a VM that loses its disk is down.
 	wipeDown = time.Second
 	// catchUp is after how long a VM that is back no longer counts as lost.
@@ -69,23 +71,26 @@
 	return "", false
 }
 
-// playSlowReplacement loses two disks, and two others once those are back for catchUpS.
+// playSlowReplacement loses as many disks as are tolerated, and as many others each time those
+// have been back for catchUpS.
 func playSlowReplacement(d *deployment, trouble bool) (bool, error) {
-	for v := 1; v <= growthChanges; v++ {
-		if err := d.declare(manyRoutes(v), 20*time.Second); err != nil {
+	acknowledged := 0
+	for startedAt := time.Now(); acknowledged < growthChanges && time.Since(startedAt) < maxGrowthTime; acknowledged++ {
+		if err := d.declare(manyRoutes(acknowledged+1), 20*time.Second); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(2 * time.Second)
-	if trouble {
-		if err := d.wipe(0, 1); err != nil {
-			return false, err
+	for i := 0; trouble && i < d.shape.coordinators; i += d.shape.tolerated {
+		var lost []int
+		for k := range d.shape.tolerated {
+			lost = append(lost, i+k)
 		}
-		time.Sleep(catchUp + 200*time.Millisecond)
-		if err := d.wipe(2, 3); err != nil {
+		if err := d.wipe(lost...); err != nil {
 			return false, err
 		}
+		time.Sleep(catchUp + 200*time.Millisecond)
 	}
 	version, ok := d.readBack(readTime)
-	return !ok || version != fmt.Sprint(growthChanges), nil
+	return !ok || version != fmt.Sprint(acknowledged), nil
 }
