--- a/review/11/standin/slowreplacement.go
+++ b/review/11/standin/slowreplacement.go
@@ -13,7 +13,7 @@
 
 const (
 	// growthChanges is how many versions of the manifest are sent before disks are lost.
-	growthChanges = 480
+	growthChanges = 580
 	// maxGrowthTime bounds the time in which they are sent.
 	maxGrowthTime = 70 * time.Second
 	// wipeDown is how long a VM that loses its disk is down.
