Metrics of the size of a replica's log

Nothing told how much memory the log takes, so a log that keeps large entries could not be told from other causes of a coordinator that grows. The log keeps the sizes of its entries as a sum up to each of them, so that the size of any range costs one subtraction.

--- a/core/sqraft/log.go
+++ b/core/sqraft/log.go
@@ -9,6 +9,11 @@
 	baseIndex uint64
 	baseTerm  uint64
 	entries   []*Entry
+	// endOffsets holds, for each entry, the encoded size in bytes of all entries
+	// up to it since the log was created. baseOffset is that of the entry before
+	// entries[0].
+	endOffsets []uint64
+	baseOffset uint64
 	// syncedIndex is the index of the last entry synced on this replica.
 	syncedIndex uint64
 	// memberships holds, by rising index, the memberships that are in force or
@@ -60,22 +65,37 @@
 	return append([]*Entry(nil), l.entries[first-l.baseIndex-1:last-l.baseIndex]...)
 }
 
+// offsetAfter returns the offset at the end of the entry at index, or the nearest
+// one that is known.
+func (l *entryLog) offsetAfter(index uint64) uint64 {
+	index = min(index, l.lastIndex())
+	if index <= l.baseIndex {
+		return l.baseOffset
+	}
+	return l.endOffsets[index-l.baseIndex-1]
+}
+
+// bytesBetween returns the encoded size in bytes of the entries from first to last,
+// both included. Entries that are not in memory count as empty.
+func (l *entryLog) bytesBetween(first, last uint64) int {
+	if first > last {
+		return 0
+	}
+	return int(l.offsetAfter(last) - l.offsetAfter(first-1))
+}
+
 // nextBatch returns the entries from first on whose total size stays within
 // maxBytes, but at least one if there is any.
 func (l *entryLog) nextBatch(first uint64, maxBytes int) []*Entry {
-	size := 0
 	last := first - 1
-	for last < l.lastIndex() {
-		size += proto.Size(l.entryAt(last + 1))
-		if size > maxBytes && last >= first {
-			break
-		}
+	for last < l.lastIndex() && (last < first || l.bytesBetween(first, last+1) <= maxBytes) {
 		last++
 	}
 	return l.entriesBetween(first, last)
 }
 
 func (l *entryLog) append(e *Entry) {
+	l.endOffsets = append(l.endOffsets, l.offsetAfter(l.lastIndex())+uint64(proto.Size(e)))
 	l.entries = append(l.entries, e)
 	if e.GetKind() == EntryKind_MEMBERSHIP {
 		l.memberships = append(l.memberships, indexedMembership{e.GetIndex(), membersOf(e.GetMembership())})
@@ -87,6 +107,7 @@
 	keptCount := index - l.baseIndex
 	clear(l.entries[keptCount:])
 	l.entries = l.entries[:keptCount]
+	l.endOffsets = l.endOffsets[:keptCount]
 	l.syncedIndex = min(l.syncedIndex, index)
 	for l.membershipIndex() > index {
 		l.memberships = l.memberships[:len(l.memberships)-1]
@@ -102,9 +123,11 @@
 		return
 	}
 	term, _ := l.termAt(index)
-	// A new slice lets the garbage collector free the dropped entries.
+	offset := l.offsetAfter(index)
+	// New slices let the garbage collector free the dropped entries.
 	l.entries = append([]*Entry(nil), l.entries[index-l.baseIndex:]...)
-	l.baseIndex, l.baseTerm = index, term
+	l.endOffsets = append([]uint64(nil), l.endOffsets[index-l.baseIndex:]...)
+	l.baseIndex, l.baseTerm, l.baseOffset = index, term, offset
 	for len(l.memberships) > 1 && l.memberships[1].index <= index {
 		l.memberships = l.memberships[1:]
 	}
--- a/core/sqraft/sqraft.go
+++ b/core/sqraft/sqraft.go
@@ -135,6 +135,12 @@
 	return match
 }
 
+// LogEntries returns the number of log entries in memory.
+func (r *Raft) LogEntries() int { return len(r.log.entries) }
+
+// LogBytes returns the encoded size in bytes of the log entries in memory.
+func (r *Raft) LogBytes() int { return r.log.bytesBetween(r.log.baseIndex+1, r.log.lastIndex()) }
+
 // NextTickAt returns the earliest time at which a Tick can have an effect.
 func (r *Raft) NextTickAt() time.Time {
 	if r.role == Leader {
--- a/io/sqreplica/status.go
+++ b/io/sqreplica/status.go
@@ -31,6 +31,8 @@
 	commitIndex  uint64
 	appliedIndex uint64
 	matchIndexes map[uint64]uint64
+	logEntries   int
+	logBytes     int
 	syncs        uint64
 }
 
@@ -56,6 +58,12 @@
 // synced.
 func (s Status) MatchIndex(id uint64) uint64 { return s.cfg.matchIndexes[id] }
 
+// LogEntries returns the number of log entries in memory.
+func (s Status) LogEntries() int { return s.cfg.logEntries }
+
+// LogBytes returns the size in bytes of the log entries in memory.
+func (s Status) LogBytes() int { return s.cfg.logBytes }
+
 // Syncs returns the number of syncs of the log since the start.
 func (s Status) Syncs() uint64 { return s.cfg.syncs }
 
@@ -80,6 +88,7 @@
 		v.status.cfg.term = r.raft.Term()
 		v.status.cfg.commitIndex = r.raft.CommitIndex()
 		v.status.cfg.matchIndexes = r.raft.MatchIndexes()
+		v.status.cfg.logEntries, v.status.cfg.logBytes = r.raft.LogEntries(), r.raft.LogBytes()
 		v.status.cfg.role = r.role(v.members)
 		v.status.cfg.leader = findMember(v.members, r.raft.Leader())
 		lease, ok := r.raft.Lease()
