--- a/core/sqraft/config.go
+++ b/core/sqraft/config.go
@@ -9,6 +9,9 @@
 	defaultMaxInFlightEntries = 4096
 )
 
+// defaultTrailingBytes bounds the entries that stay in the log after a snapshot.
+const defaultTrailingBytes = 4 << 20
+
 // Timing holds the durations and the clock bound that must be equal on all
 // replicas.
 type Timing struct {
@@ -52,8 +55,12 @@
 	// acknowledges them; 0 means the default.
 	MaxInFlightEntries uint64
 	// TrailingEntries is how many entries before a snapshot stay in the log for
-	// slow members.
+	// slow members, as far as TrailingBytes permits.
 	TrailingEntries uint64
+	// TrailingBytes bounds the size in bytes of these entries; 0 means the default.
+	// They may be as large as the snapshot if that is larger: beyond that, a member
+	// that lacks them gets the snapshot with less traffic.
+	TrailingBytes int
 }
 
 // electionJitter returns the range of the random delay added to election
--- a/core/sqraft/ready.go
+++ b/core/sqraft/ready.go
@@ -169,14 +169,24 @@
 	}
 }
 
-// Compact drops the log entries that the synced snapshot s replaces, except for
-// TrailingEntries entries, which are kept for members that are a little behind.
+// Compact drops the log entries that the synced snapshot s replaces, except for a few
+// that are kept for members that are a little behind.
 func (r *Raft) Compact(s *Snapshot) {
 	if s.GetIndex() <= r.snapshot.GetIndex() {
 		return
 	}
 	r.snapshot = s
-	if s.GetIndex() > r.cfg.TrailingEntries {
-		r.log.dropThrough(s.GetIndex() - r.cfg.TrailingEntries)
+	r.log.dropThrough(r.compactIndex(s))
+}
+
+// compactIndex returns the index of the last entry to drop: up to TrailingEntries
+// entries are kept before the snapshot, as far as their size permits.
+func (r *Raft) compactIndex(s *Snapshot) uint64 {
+	index := s.GetIndex() - min(s.GetIndex(), r.cfg.TrailingEntries)
+	index = max(index, r.log.baseIndex)
+	maxBytes := max(r.cfg.TrailingBytes, len(s.GetState()))
+	for r.log.bytesBetween(index+1, s.GetIndex()) > maxBytes {
+		index++
 	}
+	return index
 }
--- a/core/sqraft/sqraft.go
+++ b/core/sqraft/sqraft.go
@@ -70,6 +70,9 @@
 	if cfg.MaxInFlightEntries == 0 {
 		cfg.MaxInFlightEntries = defaultMaxInFlightEntries
 	}
+	if cfg.TrailingBytes == 0 {
+		cfg.TrailingBytes = defaultTrailingBytes
+	}
 	r := &Raft{
 		cfg:      cfg,
 		random:   rand.New(rand.NewPCG(cfg.Seed, cfg.ID)),
--- a/io/sqreplica/cluster_test.go
+++ b/io/sqreplica/cluster_test.go
@@ -33,6 +33,9 @@
 	count     uint64
 	orderHash uint64
 	applied   map[string]bool
+	// keepsNothing is set if large commands are only counted, bytes is their size in all.
+	keepsNothing bool
+	bytes        int
 }
 
 func newCountingMachine() *countingMachine { return &countingMachine{applied: map[string]bool{}} }
@@ -42,7 +45,8 @@
 	defer c.mu.Unlock()
 	c.count++
 	c.orderHash = c.orderHash*31 + xxhash.Sum64(command)
-	if len(c.applied) < 100000 {
+	c.bytes += len(command)
+	if len(c.applied) < 100000 && !c.keepsNothing {
 		c.applied[string(command)] = true
 	}
 	return binary.BigEndian.AppendUint64(nil, c.count)
@@ -78,6 +82,20 @@
 	return c.count, c.orderHash
 }
 
+func (c *countingMachine) keepNothing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepsNothing = true
+}
+
+// appliedBytes returns the size of the commands that were applied since the start, without
+// those that a snapshot replaced.
+func (c *countingMachine) appliedBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
+}
+
 // node is one replica with its server; both can be stopped and restarted.
 type node struct {
 	tb        testing.TB
