Bound the log entries in flight to a member by bytes

Now 4 MB are in flight at most, and the batch that crosses that bound. Small entries need not wait for answers.

TestModel plays its schedules with a bound of 300 bytes.

--- a/core/sqraft/config.go
+++ b/core/sqraft/config.go
@@ -3,14 +3,16 @@
 import "time"
 
 // Default bounds on append messages: the bytes of entries in one message, and
-// the number of entries sent to a member before it acknowledges them.
+// the number and the bytes of entries sent to a member before it acknowledges them.
 const (
 	defaultMaxBatchBytes      = 1 << 20
 	defaultMaxInFlightEntries = 4096
+	defaultMaxInFlightBytes   = 4 << 20
 )
 
-// defaultTrailingBytes bounds the entries that stay in the log after a snapshot.
-const defaultTrailingBytes = 4 << 20
+// defaultTrailingBytes bounds the entries that stay in the log after a snapshot. It
+// holds what a member may lack that is only as far behind as messages in flight.
+const defaultTrailingBytes = defaultMaxInFlightBytes
 
 // Timing holds the durations and the clock bound that must be equal on all
 // replicas.
@@ -54,6 +56,9 @@
 	// MaxInFlightEntries bounds the entries sent to a member before it
 	// acknowledges them; 0 means the default.
 	MaxInFlightEntries uint64
+	// MaxInFlightBytes bounds the size in bytes of these entries, except for the
+	// last batch; 0 means the default.
+	MaxInFlightBytes int
 	// TrailingEntries is how many entries before a snapshot stay in the log for
 	// slow members, as far as TrailingBytes permits.
 	TrailingEntries uint64
--- a/core/sqraft/logsize_test.go
+++ b/core/sqraft/logsize_test.go
@@ -136,6 +136,23 @@
 	assert.Assert(t, p.entryBytes < 6*largeCommand, "%d bytes", p.entryBytes)
 }
 
+// TestSilentMemberIsSentWholeLog guards against a leader that sends a member that does not answer
+// thousands of large entries at once, which fill its queues and delay its heartbeats.
+func TestSilentMemberIsSentWholeLog(t *testing.T) {
+	p := newLeaderWithLearner(t, 1024)
+	p.join()
+	p.entryBytes = 0
+	p.connected = false
+	p.propose(100, largeCommand)
+	assert.Assert(t, p.entryBytes <= defaultMaxInFlightBytes+defaultMaxBatchBytes, "%d bytes", p.entryBytes)
+	p.connected = true
+	p.catchUp()
+	p.entryBytes = 0
+	p.connected = false
+	p.propose(1000, 100)
+	assert.Assert(t, p.entryBytes >= 1000*100, "small entries need not wait for answers")
+}
+
 // TestLongLogOfSmallEntriesIsDropped guards against a bound in bytes that drops small entries
 // which members may lack.
 func TestLongLogOfSmallEntriesIsDropped(t *testing.T) {
--- a/core/sqraft/replication.go
+++ b/core/sqraft/replication.go
@@ -107,7 +107,7 @@
 			return
 		}
 		var entries []*Entry
-		if p.nextIndex-p.matchIndex <= r.cfg.MaxInFlightEntries {
+		if r.hasRoomInFlight(p) {
 			entries = r.log.nextBatch(p.nextIndex, r.cfg.MaxBatchBytes)
 		}
 		if len(entries) == 0 && !probe {
@@ -126,6 +126,13 @@
 	}
 }
 
+// hasRoomInFlight reports whether more entries may be sent to the member before it
+// acknowledges those that it was sent.
+func (r *Raft) hasRoomInFlight(p *peer) bool {
+	return p.nextIndex-p.matchIndex <= r.cfg.MaxInFlightEntries &&
+		r.log.bytesBetween(p.matchIndex+1, p.nextIndex-1) < r.cfg.MaxInFlightBytes
+}
+
 func (r *Raft) sendSnapshot(id uint64, p *peer) {
 	p.pendingSnapshot = r.snapshot.GetIndex()
 	p.snapshotSentAt = r.now
--- a/core/sqraft/simnode_test.go
+++ b/core/sqraft/simnode_test.go
@@ -117,7 +117,7 @@
 	n.raft = New(Config{
 		ID: n.id, Timing: n.cluster.timing, Seed: uint64(n.cluster.random.intN(1 << 16)), Start: n.localTime(n.cluster.now),
 		HardState: n.disk.hardState, Snapshot: n.disk.snapshot, Entries: n.disk.entries, TrailingEntries: 4,
-		MaxInFlightEntries: 8, MaxBatchBytes: 200, TrailingBytes: 100,
+		MaxInFlightEntries: 8, MaxBatchBytes: 200, MaxInFlightBytes: 300, TrailingBytes: 100,
 	})
 	n.applied, n.commandCount, n.checksum = 0, 0, 0
 	if n.disk.snapshot != nil {
--- a/core/sqraft/sqraft.go
+++ b/core/sqraft/sqraft.go
@@ -70,6 +70,9 @@
 	if cfg.MaxInFlightEntries == 0 {
 		cfg.MaxInFlightEntries = defaultMaxInFlightEntries
 	}
+	if cfg.MaxInFlightBytes == 0 {
+		cfg.MaxInFlightBytes = defaultMaxInFlightBytes
+	}
 	if cfg.TrailingBytes == 0 {
 		cfg.TrailingBytes = defaultTrailingBytes
 	}
