Let the replacements of several lost voters catch up together

Of two coordinators that lost their disks, the second one was not added before the first one had a vote, so the group lacked voters for the sum of both times. Within the time after which a machine no longer counts as lost, the next disks may go.

Now the group has a learner for each voter that it lacks, and no more. Learners do not vote, so quorums do not change. When a lost voter is removed, a replacement gets its vote before the next one is removed: before, both were removed first, which left three voters of five.

TestSecondDiskWaitsForFirst failed before (one learner in place of two). TestOneLearnerForOneVoter passes before and after. The simulated groups of core/sqraft (TestDiskLossDuringFreeze, TestRepeatedDiskLoss, TestReplacementDuringFreeze), which use these decisions, hold.

--- a/core/sqquorum/sqquorum.go
+++ b/core/sqquorum/sqquorum.go
@@ -79,7 +79,8 @@
 }
 
 // NextChange returns the next membership change. A new member first catches up as a
-// learner.
+// learner. All learners that are needed catch up at the same time: if each waited for the
+// one before it, the group would lack voters for the sum of these times.
 //
 // A voter that is only silent may come back with its disk, so its replacement becomes a
 // voter before it is removed. In the other order, there would be a time when all voters
@@ -91,6 +92,9 @@
 	if c := removeDeadLearner(now, v); c.Kind != None {
 		return c
 	}
+	if l := v.caughtUpLearner(); l != nil && v.voterCount() < v.minVoters() {
+		return promote(l)
+	}
 	if lost := v.wipedVoter(now); lost != nil {
 		return replaceWiped(now, v, lost)
 	}
@@ -101,31 +105,38 @@
 	if silent == nil && v.voterCount() >= v.TargetVoters {
 		return Change{}
 	}
-	if l := v.learner(); l != nil {
-		return promoteCaughtUp(l)
+	if l := v.caughtUpLearner(); l != nil {
+		return promote(l)
 	}
-	return addCandidate(now, v)
+	return addMissingLearner(now, v)
+}
+
+// promote makes the learner a voter.
+func promote(learner *Member) Change {
+	return Change{Kind: Promote, ID: learner.ID, Reason: "caught up, and the group lacks a voter that answers"}
 }
 
 // replaceWiped removes a voter that has lost its disk, once another member can take its
-// place.
+// place or the group has more voters than it needs.
 func replaceWiped(now time.Time, v View, lost *Member) Change {
-	l := v.learner()
-	if l == nil && v.voterCount() <= v.minVoters() {
-		return addCandidate(now, v)
-	}
-	if l != nil && !l.CaughtUp {
-		return Change{}
+	if v.voterCount() <= v.minVoters() && v.caughtUpLearner() == nil {
+		return addMissingLearner(now, v)
 	}
 	return Change{Kind: Remove, ID: lost.ID, Reason: "its disk is lost, and a caught-up member can take its place"}
 }
 
-// promoteCaughtUp makes the learner a voter, if its log is complete.
-func promoteCaughtUp(learner *Member) Change {
-	if !learner.CaughtUp {
+// addMissingLearner adds a learner unless there is one for each voter that the group lacks.
+func addMissingLearner(now time.Time, v View) Change {
+	missing := max(0, v.TargetVoters-v.voterCount())
+	for _, m := range v.Members {
+		if !m.Learner && !m.Leader && (now.Sub(m.LastSeen) > voterTimeout || v.diskLost(now, m)) {
+			missing++
+		}
+	}
+	if len(v.Members)-v.voterCount() >= missing {
 		return Change{}
 	}
-	return Change{Kind: Promote, ID: learner.ID, Reason: "caught up, and the group lacks a voter that answers"}
+	return addCandidate(now, v)
 }
 
 // removeSurplus removes the silent voter. If there is none, it was back after its
@@ -201,9 +212,9 @@
 // with fewer than smallestTolerantGroup, the loss of one voter leaves no quorum.
 func (v View) minVoters() int { return max(v.TargetVoters, smallestTolerantGroup) }
 
-// learner returns the learner of the group, or nil.
-func (v View) learner() *Member {
-	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.Learner })
+// caughtUpLearner returns a learner that can become a voter, or nil.
+func (v View) caughtUpLearner() *Member {
+	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.Learner && m.CaughtUp })
 	if i < 0 {
 		return nil
 	}
@@ -220,12 +231,12 @@
 	return n
 }
 
-// addCandidate adds the candidate whose zone has the fewest live voters.
+// addCandidate adds the candidate whose zone has the fewest live members.
 func addCandidate(now time.Time, v View) Change {
-	votersByZone := map[string]int{}
+	membersByZone := map[string]int{}
 	for _, m := range v.Members {
-		if !m.Learner && now.Sub(m.LastSeen) <= voterTimeout {
-			votersByZone[m.Zone]++
+		if now.Sub(m.LastSeen) <= voterTimeout && !v.diskLost(now, m) {
+			membersByZone[m.Zone]++
 		}
 	}
 	live := slices.DeleteFunc(slices.Clone(v.Candidates), func(c Candidate) bool {
@@ -235,7 +246,7 @@
 		return Change{}
 	}
 	best := slices.MinFunc(live, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(votersByZone[a.Zone], votersByZone[b.Zone]), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(membersByZone[a.Zone], membersByZone[b.Zone]), cmp.Compare(a.ID, b.ID))
 	})
 	return Change{Kind: Add, ID: best.ID, Candidate: best, Reason: "the group lacks a voter"}
 }
--- a/core/sqquorum/sqquorum_test.go
+++ b/core/sqquorum/sqquorum_test.go
@@ -1,6 +1,7 @@
 package sqquorum
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -64,6 +65,67 @@
 	assert.Equal(t, NextChange(now, v).Kind, None)
 }
 
+// TestSecondDiskWaitsForFirst guards against replacements one after the other: of two voters
+// whose disks are lost, both must be replaced within the time that one may take.
+func TestSecondDiskWaitsForFirst(t *testing.T) {
+	v := View{TargetVoters: 5}
+	for id := uint64(1); id <= 5; id++ {
+		v.Members = append(v.Members, member(id, 0))
+	}
+	v.Members[0].Leader = true
+	var changes []Change
+	for _, lost := range []int{3, 4} {
+		v.Members[lost].LastSeen = now.Add(-400 * time.Millisecond)
+		v.Candidates = append(v.Candidates, candidate(uint64(10+lost), v.Members[lost].Address))
+	}
+	v.Candidates = append(v.Candidates, candidate(20, "spare"), candidate(21, "other spare"))
+	for len(changes) < 10 {
+		c := NextChange(now, v)
+		if c.Kind == None {
+			break
+		}
+		changes = append(changes, c)
+		v = v.after(c)
+	}
+	assert.Equal(t, len(changes), 2, "one learner for each lost disk, and no more")
+	assert.Equal(t, changes[0].Kind, Add)
+	assert.Equal(t, changes[1].Kind, Add)
+	for i := range v.Members {
+		v.Members[i].CaughtUp = true
+	}
+	for _, kind := range []ChangeKind{Remove, Promote, Remove, Promote, None} {
+		c := NextChange(now, v)
+		assert.Equal(t, c.Kind, kind)
+		v = v.after(c)
+	}
+	assert.Equal(t, v.voterCount(), 5)
+}
+
+// TestOneLearnerForOneVoter checks that no further learner joins while the one that replaces a
+// silent voter catches up.
+func TestOneLearnerForOneVoter(t *testing.T) {
+	v := healthyGroup()
+	v.Members[2].LastSeen = now.Add(-3 * time.Second)
+	v.Candidates = []Candidate{candidate(9, "x"), candidate(10, "y")}
+	v = v.after(NextChange(now, v))
+	assert.Equal(t, NextChange(now, v).Kind, None)
+}
+
+// after returns the view once the change is made. A learner has not caught up at first.
+func (v View) after(c Change) View {
+	switch c.Kind {
+	case Add:
+		v.Members = append(slices.Clone(v.Members), Member{ID: c.ID, Address: c.Candidate.Address, Zone: c.Candidate.Zone, Learner: true, LastSeen: now})
+		v.Candidates = slices.DeleteFunc(slices.Clone(v.Candidates), func(x Candidate) bool { return x.ID == c.ID })
+	case Promote:
+		i := slices.IndexFunc(v.Members, func(m Member) bool { return m.ID == c.ID })
+		v.Members[i].Learner = false
+	case Remove:
+		v.Members = slices.DeleteFunc(slices.Clone(v.Members), func(m Member) bool { return m.ID == c.ID })
+	}
+	return v
+}
+
 // TestSilentVoterIsBack checks that the group returns to its size when a voter answers
 // again whose replacement has a vote already: one of the zone with the most voters goes,
 // but not while any voter may have failed.
