Count a learner as caught up by the bytes that it lacks

A voter that lost its disk is removed once a learner lacks at most 64 committed entries. With tables of 0.43 MB, these are 27 MB, so the group was short of a voter for as long as the learner took to read them.

Now the learner may lack 1 MB at most, which takes a quarter of a second at the speed that replicas expect of each other.

TestLearnerLacksLargeEntries fails with the former condition.

--- a/app/sqcoordinator/group.go
+++ b/app/sqcoordinator/group.go
@@ -27,6 +27,9 @@
 	// maxLagEntries is how many committed log entries a learner may lack when it is
 	// promoted to a voter.
 	maxLagEntries = 64
+	// maxLagBytes is how many bytes these entries may have. With 4 MB a second, they
+	// take a quarter of a second.
+	maxLagBytes = 1 << 20
 )
 
 // bootstrap makes the seeds the first members of the group when the deployment
@@ -177,10 +180,9 @@
 		if m.ID() == ownID {
 			lastSeen = now
 		}
-		match := status.MatchIndex(m.ID())
 		v.Members = append(v.Members, sqquorum.Member{
 			ID: m.ID(), Address: m.Address(), Zone: m.Zone(), Learner: m.Learner(), Leader: m.ID() == ownID, LastSeen: lastSeen,
-			CaughtUp: match > 0 && match+maxLagEntries >= status.CommitIndex(),
+			CaughtUp: isCaughtUp(status.MatchIndex(m.ID()), status.CommitIndex(), status.LagBytes(m.ID())),
 		})
 	}
 	for id, a := range t.announcements {
@@ -190,3 +192,9 @@
 	}
 	return v
 }
+
+// isCaughtUp reports whether a member has all committed entries, or nearly all: match is the
+// last one that it has, commit the last committed one, and lagBytes the size of those between.
+func isCaughtUp(match, commit uint64, lagBytes int) bool {
+	return match > 0 && match+maxLagEntries >= commit && lagBytes <= maxLagBytes
+}
--- a/app/sqcoordinator/group_test.go
+++ b/app/sqcoordinator/group_test.go
@@ -144,6 +144,17 @@
 	assert.Equal(t, string(document), string(tableDocument(4)))
 }
 
+// TestLearnerLacksLargeEntries guards against a voter that is removed for a learner that lacks
+// few entries, but large ones.
+func TestLearnerLacksLargeEntries(t *testing.T) {
+	t.Parallel()
+	assert.Assert(t, isCaughtUp(100, 100, 0))
+	assert.Assert(t, isCaughtUp(50, 100, 50*100))
+	assert.Assert(t, !isCaughtUp(50, 100, 50*(400<<10)))
+	assert.Assert(t, !isCaughtUp(50, 200, 150*100))
+	assert.Assert(t, !isCaughtUp(0, 10, 0), "it may have answered nothing yet")
+}
+
 func newBeatRequest(gateway string, requests uint64) *sqrpc.BeatRequest {
 	return &sqrpc.BeatRequest{
 		Gateway: gateway, Run: "1", Zone: "z1", Address: "10.0.0.1:1", WallUnixNano: time.Now().UnixNano(),
--- a/core/sqraft/sqraft.go
+++ b/core/sqraft/sqraft.go
@@ -141,6 +141,23 @@
 	return match
 }
 
+// LagBytes returns, on a leader, the size in bytes of the committed entries that each
+// member lacks, by member id. For a member that needs the snapshot, this is the
+// snapshot and what follows it. It returns nil on other replicas.
+func (r *Raft) LagBytes() map[uint64]int {
+	if r.leaderState == nil {
+		return nil
+	}
+	lag := map[uint64]int{}
+	for id, p := range r.leaderState.peers {
+		lag[id] = r.log.bytesBetween(p.matchIndex+1, r.commitIndex)
+		if p.matchIndex < r.log.baseIndex {
+			lag[id] = len(r.snapshot.GetState()) + r.log.bytesBetween(r.snapshot.GetIndex()+1, r.commitIndex)
+		}
+	}
+	return lag
+}
+
 // LogEntries returns the number of log entries in memory.
 func (r *Raft) LogEntries() int { return len(r.log.entries) }
 
--- a/io/sqreplica/status.go
+++ b/io/sqreplica/status.go
@@ -31,6 +31,7 @@
 	commitIndex  uint64
 	appliedIndex uint64
 	matchIndexes map[uint64]uint64
+	lagBytes     map[uint64]int
 	logEntries   int
 	logBytes     int
 	syncs        uint64
@@ -58,6 +59,10 @@
 // synced.
 func (s Status) MatchIndex(id uint64) uint64 { return s.cfg.matchIndexes[id] }
 
+// LagBytes returns, on a leader, how many bytes of committed entries the member with
+// id has not synced.
+func (s Status) LagBytes(id uint64) int { return s.cfg.lagBytes[id] }
+
 // LogEntries returns the number of log entries in memory.
 func (s Status) LogEntries() int { return s.cfg.logEntries }
 
@@ -88,6 +93,7 @@
 		v.status.cfg.term = r.raft.Term()
 		v.status.cfg.commitIndex = r.raft.CommitIndex()
 		v.status.cfg.matchIndexes = r.raft.MatchIndexes()
+		v.status.cfg.lagBytes = r.raft.LagBytes()
 		v.status.cfg.logEntries, v.status.cfg.logBytes = r.raft.LogEntries(), r.raft.LogBytes()
 		v.status.cfg.role = r.role(v.members)
 		v.status.cfg.leader = findMember(v.members, r.raft.Leader())
