Keep cautions for as long as the crashes that they rest on

Callers saw a request that crashes endpoints reach them again and again: four attempts at once, each 34 s, crashed three or four endpoints each time, with the sound requests on them.

Cause: crashes at once count as one, which is right for a rack without power, so attempts at such a request are sent one at a time. But that caution looked at crashes of the last 30 s alone, while they are kept and count for ten minutes. Gateways were asked about answers for 30 s too, so an answer after that did not clear a sound request.

All attempts that arrived were the callers' own.

Now cautions and the questions to gateways last for as long as the crashes are kept, and gateways are asked first about traits with a caution.

TestCautionAfterSecondCrash and TestSuspectsAreThoseWithoutAnswer asked for the 30 s, which are the fault. They now ask that both end when the crashes are forgotten, one millisecond before and after.

--- a/app/sqcoordinator/quarantine.go
+++ b/app/sqcoordinator/quarantine.go
@@ -96,7 +96,7 @@
 	t.suspects.decidedAt, t.suspects.entries = now, entries
 	d := t.quarantine.Decide(now, entries, len(t.gateways.byName))
 	t.suspects.cautions = t.quarantine.Cautions(now, entries)
-	if err := t.suspects.update(t.quarantine.Suspects(now, entries)); err != nil {
+	if err := t.suspects.update(t.quarantine.Suspects(now, entries, t.suspects.cautions)); err != nil {
 		c.log.Event(sqevent.BeatNotEncoded, "suspects", err.Error())
 	}
 	if len(d.Quarantine)+len(d.Precaution)+len(d.Release) == 0 {
--- a/core/sqquarantine/probe_test.go
+++ b/core/sqquarantine/probe_test.go
@@ -62,5 +62,7 @@
 	h.entries = []Entry{{Trait: whole("bad"), Active: true}}
 	assert.Equal(t, len(cautions(300)), 0)
 	h.entries = nil
-	assert.Equal(t, len(cautions(100+int(askTime/time.Millisecond)+1)), 0, "it has not come again")
+	forgotten := 20 + int(crashMemory/time.Millisecond)
+	assert.DeepEqual(t, cautions(forgotten), []Entry{{Trait: whole("bad"), EndedAt: h.at(100)}})
+	assert.Equal(t, len(cautions(forgotten+1)), 0, "it has not come again")
 }
--- a/core/sqquarantine/sqquarantine_test.go
+++ b/core/sqquarantine/sqquarantine_test.go
@@ -11,7 +11,10 @@
 	"gotest.tools/v3/assert"
 )
 
-const service = "engines"
+const (
+	service      = "engines"
+	gatewayCount = 7
+)
 
 func part(id string) Trait { return Trait{Service: service, ID: id} }
 
@@ -48,7 +51,7 @@
 	}
 }
 
-func (h *history) decide(ms int) Decision { return h.tracker.Decide(h.at(ms), h.entries, 7) }
+func (h *history) decide(ms int) Decision { return h.tracker.Decide(h.at(ms), h.entries, gatewayCount) }
 
 // crashThreeTimes records three crashes under a harmful part, and answers to requests
 // that share the other parts.
@@ -198,10 +201,11 @@
 func TestSuspectsAreThoseWithoutAnswer(t *testing.T) {
 	h := newHistory()
 	h.crash(0, "e1", []string{"ab", "bad"})
-	assert.DeepEqual(t, h.tracker.Suspects(h.at(0), nil), []Trait{part("ab"), part("bad"), anyRequest(service)})
+	assert.DeepEqual(t, h.tracker.Suspects(h.at(0), nil, nil), []Trait{part("ab"), part("bad"), anyRequest(service)})
 	h.answer(10, "ab")
-	assert.DeepEqual(t, h.tracker.Suspects(h.at(10), []Entry{{Trait: part("old")}}), []Trait{part("old"), part("bad")})
-	assert.Equal(t, len(h.tracker.Suspects(h.at(10).Add(askTime), nil)), 0)
+	assert.DeepEqual(t, h.tracker.Suspects(h.at(10), []Entry{{Trait: part("old")}}, nil), []Trait{part("old"), part("bad")})
+	assert.Equal(t, len(h.tracker.Suspects(h.at(0).Add(crashMemory), nil, nil)), 1)
+	assert.Equal(t, len(h.tracker.Suspects(h.at(10).Add(crashMemory), nil, nil)), 0)
 }
 
 // TestSoundPartsAreSpared plays 20 days of traffic with one harmful part and random
--- a/core/sqquarantine/tracker.go
+++ b/core/sqquarantine/tracker.go
@@ -15,10 +15,7 @@
 	// explainedMemory is how long a crash under a quarantined part is kept, so that late
 	// reports are joined to it.
 	explainedMemory = 10 * time.Second
-	// askTime is how long after a crash gateways are asked about the answers to its traits,
-	// and maxSuspects the maximum number of traits about which they are. Many never come
-	// again.
-	askTime     = 30 * time.Second
+	// maxSuspects is the maximum number of traits about whose answers gateways are asked.
 	maxSuspects = 512
 	// Gateways need settleTime, and settleTimePerGateway for each of them, to report the
 	// answers that clear a trait of a crash.
@@ -150,9 +147,10 @@
 }
 
 // Suspects returns the traits about whose answers gateways must report: those of the
-// entries, and those under which endpoints crashed within askTime, newest crash first,
-// with no answer since.
-func (t *Tracker) Suspects(now time.Time, entries []Entry) []Trait {
+// entries and the cautions, and those under which endpoints crashed, newest crash first,
+// with no answer since. As long as a crash counts against a trait, an answer must count for
+// it.
+func (t *Tracker) Suspects(now time.Time, entries, cautions []Entry) []Trait {
 	var suspects []Trait
 	seen := map[Trait]bool{}
 	add := func(p Trait) {
@@ -161,13 +159,10 @@
 			suspects = append(suspects, p)
 		}
 	}
-	for _, e := range entries {
+	for _, e := range slices.Concat(entries, cautions) {
 		add(e.Trait)
 	}
-	for _, c := range slices.Backward(t.crashes) {
-		if now.Sub(c.At) > askTime {
-			break
-		}
+	for _, c := range slices.Backward(t.keptCrashes(now, now)) {
 		for _, p := range append(c.traits(), anyRequest(c.Service)) {
 			if !t.lastAnswer[p].After(c.At) {
 				add(p)
@@ -194,13 +189,18 @@
 		}
 	}
 	t.dropCleared(now, active)
-	settled := now.Add(-settleTime - time.Duration(gateways)*settleTimePerGateway)
-	e := evidence{crashes: t.crashesUntil(settled), lastAnswer: t.lastAnswer, quarantined: active, endedAt: endedAt}
+	e := evidence{crashes: t.crashesUntil(settledAt(now, gateways)), lastAnswer: t.lastAnswer, quarantined: active, endedAt: endedAt}
 	found := e.evaluate()
 	d.Quarantine, d.Precaution = found.harmful, found.suspected
 	return d
 }
 
+// settledAt returns the time up to which gateways have reported the answers that clear a
+// trait of a crash.
+func settledAt(now time.Time, gateways int) time.Time {
+	return now.Add(-settleTime - time.Duration(gateways)*settleTimePerGateway)
+}
+
 // updateKnown records since when each entry is in its state.
 func (t *Tracker) updateKnown(now time.Time, entries []Entry) {
 	known := make(map[entryState]time.Time, len(entries))
