Send requests with a part that may crash endpoints one at a time

Cause: crashes at once count as one, since a zone without power crashes as many. Until three moments were counted, nothing held requests with the part back; for whole requests there is a caution, for parts there was none.

Now three crashes under three requests with a part make it a caution: requests with it go one at a time. A part that was answered since, or within 3 s before the crashes, gets none, and gateways get the time to report that. Of parts that follow each other only the last gets one. If endpoints crashed in two waves and five times in all, one other cause is unlikely, and the part is harmful. Gateways ask about the last part first, and not at all if another trait is quarantined, so that refused requests do not use up what sound ones wait for.

sqcoordinator's tests took any entry of a response for a quarantine, also a caution; they now ask for one whose term has not ended.

--- a/app/sqcoordinator/quarantine.go
+++ b/app/sqcoordinator/quarantine.go
@@ -22,8 +22,8 @@
 // suspectList is what gateways are sent of the suspects. The revision changes with them.
 type suspectList struct {
 	decidedAt time.Time
-	// entries are those of the last decision, and cautions the requests that are sent one at
-	// a time without a quarantine.
+	// entries are those of the last decision, and cautions the traits with which requests are
+	// sent one at a time without a quarantine.
 	entries  []sqquarantine.Entry
 	cautions []sqquarantine.Entry
 	suspects []sqquarantine.Trait
@@ -95,7 +95,7 @@
 func (c *coordinator) decideQuarantines(now time.Time, t *termState, entries []sqquarantine.Entry) {
 	t.suspects.decidedAt, t.suspects.entries = now, entries
 	d := t.quarantine.Decide(now, entries, len(t.gateways.byName))
-	t.suspects.cautions = t.quarantine.Cautions(now, entries)
+	t.suspects.cautions = t.quarantine.Cautions(now, entries, len(t.gateways.byName))
 	if err := t.suspects.update(t.quarantine.Suspects(now, entries, t.suspects.cautions)); err != nil {
 		c.log.Event(sqevent.BeatNotEncoded, "suspects", err.Error())
 	}
--- a/app/sqcoordinator/quarantine_test.go
+++ b/app/sqcoordinator/quarantine_test.go
@@ -37,7 +37,7 @@
 
 // quarantined reports whether the response quarantines just the part "bad".
 func quarantined(res *sqrpc.BeatResponse) bool {
-	return len(res.GetQuarantines()) == 1 && res.GetQuarantines()[0].GetTrait().GetId() == "bad"
+	return len(res.GetQuarantines()) == 1 && res.GetQuarantines()[0].GetTrait().GetId() == "bad" && res.GetQuarantines()[0].GetLeftMillis() > 0
 }
 
 func TestCrashesSeenByDifferentGatewaysAreNotJoined(t *testing.T) {
--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -43,6 +43,8 @@
 	limits []*sqrpc.EndpointLimit
 	// probes counts the requests for one send after a quarantine. The first one is granted.
 	probes int
+	// probed holds the traits of these requests.
+	probed []*sqrpc.Trait
 	// origins holds where streams began, by attempt.
 	origins map[string]*sqrpc.StreamOrigin
 	// answerQuota answers calls for units of a quota. Without it, the call is not known.
@@ -97,10 +99,11 @@
 }
 
 // Probe implements sqrpc.Coordinator.
-func (h *fakeLeaseHolder) Probe(context.Context, *sqrpc.ProbeRequest) (*sqrpc.ProbeResponse, error) {
+func (h *fakeLeaseHolder) Probe(_ context.Context, req *sqrpc.ProbeRequest) (*sqrpc.ProbeResponse, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.probes++
+	h.probed = append(h.probed, req.GetTrait())
 	return &sqrpc.ProbeResponse{Granted: h.probes == 1, RetryAfterMillis: 2000}, nil
 }
 
--- a/app/sqgateway/quarantine.go
+++ b/app/sqgateway/quarantine.go
@@ -34,30 +34,38 @@
 
 // refuseQuarantined ends the request if one of its traits is quarantined, and reports
 // whether it did. After a quarantine, the lease holder allows requests with the trait one
-// at a time.
+// at a time. It is asked about the whole request and the last part of the prompt first: a
+// request that is refused for these must not use up what is allowed of parts that more
+// requests share.
 func (x *request) refuseQuarantined(now time.Time) bool {
 	quarantines := x.g.view.Load().quarantines
 	if len(quarantines) == 0 {
 		return false
 	}
-	for _, t := range x.traits() {
-		until, ok := quarantines[t]
-		if !ok || slices.Contains(x.probed, t) {
+	traits := x.traits()
+	for _, t := range traits {
+		if left := quarantines[t].Sub(now); left > 0 && !slices.Contains(x.probed, t) {
+			x.finishQuarantined(now, t, left)
+			return true
+		}
+	}
+	for _, t := range slices.Backward(traits) {
+		if _, ok := quarantines[t]; !ok || slices.Contains(x.probed, t) {
 			continue
 		}
-		left := until.Sub(now)
-		if left <= 0 {
-			if left = x.probe(t); left <= 0 {
-				continue
-			}
+		if left := x.probe(t); left > 0 {
+			x.finishQuarantined(now, t, left)
+			return true
 		}
-		x.g.metrics.quarantined.Inc()
-		x.finishUnanswered(x.stepWithoutEndpoint(now), quarantineReason(t), left)
-		return true
 	}
 	return false
 }
 
+func (x *request) finishQuarantined(now time.Time, t sqquarantine.Trait, left time.Duration) {
+	x.g.metrics.quarantined.Inc()
+	x.finishUnanswered(x.stepWithoutEndpoint(now), quarantineReason(t), left)
+}
+
 func quarantineReason(t sqquarantine.Trait) string {
 	if t.Kind == sqquarantine.WholeRequest {
 		return "the request is quarantined, since it crashes endpoints"
--- a/app/sqgateway/quarantine_test.go
+++ b/app/sqgateway/quarantine_test.go
@@ -55,6 +55,29 @@
 	assert.Equal(t, len(e.requests()), 1)
 }
 
+// TestLastPartIsAskedAboutFirst guards against refused requests that use up what the holder
+// allows of a part that many sound requests share.
+func TestLastPartIsAskedAboutFirst(t *testing.T) {
+	e := newFakeEndpoint(t, engineHandler(0))
+	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
+	s.holder.update(func() {
+		s.holder.probes = 1 // None is granted.
+		s.holder.quarantines = []*sqrpc.Quarantine{{Trait: &sqrpc.Trait{Service: "engines", Id: "shared"}}, {Trait: &sqrpc.Trait{Service: "engines", Id: "last"}}}
+	})
+	waitFor(t, func() bool { return len(s.gateway.view.Load().quarantines) == 2 })
+	assert.Equal(t, s.callWithPart(t, "shared,last").StatusCode, http.StatusServiceUnavailable)
+	s.holder.update(func() {
+		assert.Equal(t, len(s.holder.probed), 1)
+		assert.Equal(t, s.holder.probed[0].GetId(), "last")
+		s.holder.probed = nil
+		s.holder.quarantines[0].LeftMillis = 60_000
+	})
+	active := sqquarantine.Trait{Service: "engines", ID: "shared"}
+	waitFor(t, func() bool { return !s.gateway.view.Load().quarantines[active].IsZero() })
+	assert.Equal(t, s.callWithPart(t, "shared,last").StatusCode, http.StatusServiceUnavailable)
+	s.holder.update(func() { assert.Equal(t, len(s.holder.probed), 0, "the quarantine decides without the holder") })
+}
+
 // TestEndedQuarantineRefusesNothing guards against a request that is refused for no time
 // because it came just before the heartbeat's response with an ended quarantine.
 func TestEndedQuarantineRefusesNothing(t *testing.T) {
--- a/app/sqgateway/wire_test.go
+++ b/app/sqgateway/wire_test.go
@@ -25,8 +25,12 @@
 		a.Deadline = time.Duration(ms) * time.Millisecond
 	}
 	if n, err := strconv.Atoi(h.Get("X-Tokens")); err == nil {
-		a.Prompt = sqattempt.Prompt{Tokens: n,
-			Parts: []sqattempt.Part{{ID: h.Get("X-Subject"), Tokens: n - 100}, {ID: "own", Tokens: 100}}}
+		a.Prompt = sqattempt.Prompt{Tokens: n}
+		subjects := strings.Split(h.Get("X-Subject"), ",")
+		for _, id := range subjects {
+			a.Prompt.Parts = append(a.Prompt.Parts, sqattempt.Part{ID: id, Tokens: (n - 100) / len(subjects)})
+		}
+		a.Prompt.Parts = append(a.Prompt.Parts, sqattempt.Part{ID: "own", Tokens: 100})
 	}
 	return a
 }
--- a/core/sqquarantine/bench_test.go
+++ b/core/sqquarantine/bench_test.go
@@ -24,6 +24,6 @@
 	now := h.at(0).Add(5 * time.Second)
 	for b.Loop() {
 		h.tracker.Decide(now, nil, 291)
-		h.tracker.Cautions(now, nil)
+		h.tracker.Cautions(now, nil, gatewayCount)
 	}
 }
--- a/core/sqquarantine/powerloss_test.go
+++ b/core/sqquarantine/powerloss_test.go
@@ -84,7 +84,7 @@
 
 // TestPowerLossQuarantinesNothing plays 100 days on which the endpoints of one or all zones
 // lose power at random moments, while callers repeat a few requests, and checks that no
-// trait of these is quarantined.
+// trait of these is quarantined, and that requests with the same part never wait for each other.
 func TestPowerLossQuarantinesNothing(t *testing.T) {
 	for seed := range uint64(100) {
 		s := newSoundService(seed)
@@ -104,6 +104,9 @@
 			if ms%100 == 0 {
 				d := s.decide(ms)
 				assert.Equal(t, len(d.Quarantine)+len(d.Precaution), 0, "seed %d, %v: %v", seed, time.Duration(ms)*time.Millisecond, d)
+				for _, c := range s.tracker.Cautions(s.at(ms), s.entries, gatewayCount) {
+					assert.Assert(t, c.Trait.Kind == WholeRequest, "seed %d, %v: %v", seed, time.Duration(ms)*time.Millisecond, c)
+				}
 			}
 		}
 		assert.Assert(t, s.crashes > 0)
--- a/core/sqquarantine/probe.go
+++ b/core/sqquarantine/probe.go
@@ -12,8 +12,8 @@
 	grantedAt time.Time
 }
 
-// ProbeCaution is Probe for a request among the cautions. One attempt at a time is allowed at
-// each of them, since sound requests may be among them, which must not wait for each other.
+// ProbeCaution is Probe for a trait among the cautions. One request at a time is allowed with
+// each of them, since sound ones may be among them, which must not wait for each other.
 func (t *Tracker) ProbeCaution(now time.Time, trait Trait) (granted bool, wait time.Duration) {
 	if wait = probeTime - now.Sub(t.cautionProbes[trait]); wait > 0 {
 		return false, wait
--- a/core/sqquarantine/probe_test.go
+++ b/core/sqquarantine/probe_test.go
@@ -40,7 +40,7 @@
 	h := newHistory()
 	cautions := func(ms int) []Entry {
 		h.decide(ms)
-		return h.tracker.Cautions(h.at(ms), h.entries)
+		return h.tracker.Cautions(h.at(ms), h.entries, gatewayCount)
 	}
 	h.crashUnder(0, "e0", "bad", "sound")
 	h.crashUnder(10, "e1", "bad")
--- a/core/sqquarantine/score.go
+++ b/core/sqquarantine/score.go
@@ -13,6 +13,9 @@
 	// decisiveCrashes is how many crashes under several prompt parts make all of them
 	// harmful if nothing tells them apart.
 	decisiveCrashes = 5
+	// minWaves is in how many waves endpoints must have crashed under a prompt part for each
+	// of decisiveCrashes to count.
+	minWaves = 2
 	// crashesPerStray is how many crashes under a trait of a service that answers nothing
 	// outweigh one that has another cause.
 	crashesPerStray = 5
@@ -21,6 +24,9 @@
 	// after a crash needs little time to crash the next endpoint.
 	partSpacing    = 100 * time.Millisecond
 	requestSpacing = 30 * time.Millisecond
+	// waveSpacing is the time between two waves of crashes. The endpoints of an availability
+	// zone that loses power need not crash within partSpacing.
+	waveSpacing = 1 * time.Second
 )
 
 // evidence is what decides on traits at one time.
@@ -119,15 +125,7 @@
 func (e *evidence) lastOfQuietServices(parts []Trait) []Trait {
 	return slices.DeleteFunc(slices.Clone(parts), func(t Trait) bool {
 		counted := e.countedCrashes(t)
-		return !e.answersOthers(t, counted) && slices.ContainsFunc(parts, func(other Trait) bool { return followsIn(counted[0], t, other) })
-	})
-}
-
-// followsIn reports whether other comes after t in the prompt of a request of the crash.
-func followsIn(c *Crash, t, other Trait) bool {
-	return slices.ContainsFunc(c.Requests, func(request []Trait) bool {
-		i := slices.Index(request, t)
-		return i >= 0 && slices.Contains(request[i+1:], other)
+		return !e.answersOthers(t, counted) && counted[0].isFollowed(t, func(other Trait) bool { return slices.Contains(parts, other) })
 	})
 }
 
@@ -135,13 +133,33 @@
 // enough. A trait that was quarantined before scores above all others.
 func (e *evidence) score(t Trait) int {
 	counted := e.countedCrashes(t)
-	if len(counted) < e.minCrashes(t) || !e.isCause(t, counted) {
+	n := e.crashCount(t, counted)
+	if n < e.minCrashes(t) || !e.isCause(t, counted, n) {
 		return 0
 	}
 	if _, former := e.endedAt[t]; former {
-		return len(counted) + maxCrashes
+		return n + maxCrashes
+	}
+	return n
+}
+
+// crashCount returns how many crashes count against the trait. Those at one moment count as
+// one, since they may have one other cause, such as a rack without power. If many endpoints
+// crashed under a prompt part, and not all in one wave, that is unlikely: then the part has
+// enough crashes, and in a service that answers nothing else, each of them counts.
+func (e *evidence) crashCount(t Trait, counted []*Crash) int {
+	if t.Kind == WholeRequest || len(e.crashesSince(t, waveSpacing)) < minWaves {
+		return len(counted)
+	}
+	all := len(e.crashesSince(t, 0))
+	switch {
+	case all < decisiveCrashes:
+		return len(counted)
+	case e.answersOthers(t, counted):
+		return max(len(counted), minCrashes)
+	default:
+		return all
 	}
-	return len(counted)
 }
 
 // isCause reports whether the trait is the likely cause of the crashes, and not another
@@ -149,13 +167,13 @@
 // service that answers nothing may just have nothing else to do: then the crashes are
 // judged by themselves, and a prompt part, which all requests may have, needs more of them
 // for its first quarantine.
-func (e *evidence) isCause(t Trait, counted []*Crash) bool {
+func (e *evidence) isCause(t Trait, counted []*Crash, count int) bool {
 	if e.answersOthers(t, counted) {
 		return true
 	}
 	_, former := e.endedAt[t]
-	isEnough := former || t.Kind == WholeRequest || len(counted) >= decisiveCrashes
-	return isEnough && e.strays(t.Kind, counted)*crashesPerStray <= len(counted)
+	isEnough := former || t.Kind == WholeRequest || count >= decisiveCrashes
+	return isEnough && e.strays(t.Kind, counted)*crashesPerStray <= count
 }
 
 // strays returns how many crashes of the same services since the first counted one have no
@@ -202,15 +220,13 @@
 	return e.crashesSince(t, partSpacing)
 }
 
-// crashesSince returns the crashes that happened under the trait since a request with it
-// was last answered and since its last quarantine ended, without those that came sooner
-// than spacing after another one.
+// crashesSince returns the unexplained crashes under the trait that happened under another
+// request, without those that came sooner than spacing after another one.
 func (e *evidence) crashesSince(t Trait, spacing time.Duration) []*Crash {
 	var counted []*Crash
 	seen := map[string]bool{}
-	for _, c := range e.under[t] {
-		isOld := !c.At.After(e.lastAnswer[t]) || !c.At.After(e.endedAt[t])
-		if isOld || e.explained(c, t) || !addsRequest(c, t, seen) {
+	for _, c := range e.unexplainedCrashes(t) {
+		if !addsRequest(c, t, seen) {
 			continue
 		}
 		if n := len(counted); n > 0 && c.At.Sub(counted[n-1].At) < spacing {
@@ -221,6 +237,19 @@
 	return counted
 }
 
+// unexplainedCrashes returns the crashes that happened under the trait since a request with
+// it was last answered and since its last quarantine ended, without those that another trait
+// explains.
+func (e *evidence) unexplainedCrashes(t Trait) []*Crash {
+	var crashes []*Crash
+	for _, c := range e.under[t] {
+		if c.At.After(e.lastAnswer[t]) && c.At.After(e.endedAt[t]) && !e.explained(c, t) {
+			crashes = append(crashes, c)
+		}
+	}
+	return crashes
+}
+
 // addsRequest reports whether the crash happened under a request with the trait that is
 // not among those seen, and adds such requests to them. A part counts once for each
 // request, since a request that crashes endpoints by itself says nothing about its parts.
@@ -256,6 +285,9 @@
 // explained reports whether the crash happened under another trait that is or was in
 // quarantine. A request in quarantine does not clear its own parts.
 func (e *evidence) explained(c *Crash, t Trait) bool {
+	if len(e.quarantined)+len(e.endedAt) == 0 {
+		return false
+	}
 	for _, request := range c.Requests {
 		has := slices.Contains(request, t)
 		for _, other := range request {
