Test that disks full one after another stop no changes

Coordinators can be given the file system of their data, as replicas can; the tests' disks are in memory and write what fits.

--- a/app/sqcoordinator/coordinator.go
+++ b/app/sqcoordinator/coordinator.go
@@ -24,6 +24,7 @@
 	"sequoiadock/core/sqquarantine"
 	"sequoiadock/core/sqquota"
 	"sequoiadock/io/sqclock"
+	"sequoiadock/io/sqdisk"
 	"sequoiadock/io/sqguard"
 	"sequoiadock/io/sqhttp"
 	"sequoiadock/io/sqlocate"
@@ -73,6 +74,8 @@
 	InternalAddress string
 	OperatorAddress string
 	DataFolder      string
+	// FS, when set, is used instead of DataFolder.
+	FS sqdisk.FS
 	// Seeds are the internal addresses of some coordinators. If FirstStart is set,
 	// they become the first members of the group.
 	Seeds      []string
@@ -173,7 +176,7 @@
 	defer transport.Close()
 	var err error
 	c.replica, err = sqreplica.Open(sqreplica.Config{
-		Name: cfg.Name, Zone: cfg.Zone, Address: cfg.InternalAddress, DataFolder: cfg.DataFolder, Deployment: deploymentName,
+		Name: cfg.Name, Zone: cfg.Zone, Address: cfg.InternalAddress, DataFolder: cfg.DataFolder, FS: cfg.FS, Deployment: deploymentName,
 		StateMachine: c.stateMachine, Transport: transport, Log: cfg.Log, Metrics: c.metrics,
 		HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout, LeaseDuration: leaseDuration, ElectionJitter: electionJitter,
 		SkipLeaseWait: true,
--- a/app/sqcoordinator/group_test.go
+++ b/app/sqcoordinator/group_test.go
@@ -150,7 +150,7 @@
 	t.Parallel()
 	assert.Assert(t, isCaughtUp(100, 100, 0))
 	assert.Assert(t, isCaughtUp(50, 100, 50*100))
-	assert.Assert(t, !isCaughtUp(50, 100, 50*(400<<10)))
+	assert.Assert(t, !isCaughtUp(50, 100, 50*largeTable))
 	assert.Assert(t, !isCaughtUp(50, 200, 150*100))
 	assert.Assert(t, !isCaughtUp(0, 10, 0), "it may have answered nothing yet")
 }
--- a/app/sqcoordinator/harness_test.go
+++ b/app/sqcoordinator/harness_test.go
@@ -97,6 +97,8 @@
 	addressPrefix string
 	seeds         []string
 	nodes         map[int]*node
+	// disks holds the disks of the coordinators that have no folder.
+	disks map[int]*limitedDisk
 }
 
 // node is one running coordinator.
@@ -105,6 +107,8 @@
 	folder string
 	cancel context.CancelFunc
 	done   chan error
+	// current is the coordinator since the disk was opened last.
+	current atomic.Pointer[coordinator]
 }
 
 // networks is how many loopback networks the groups of this process can have.
@@ -125,17 +129,23 @@
 // newGroup starts coordinators 1 to 3 for the first time, in the given order. Each has
 // its own loopback address, so that its ports cannot be in use already.
 func newGroup(t testing.TB, order ...int) *group {
+	g := newStoppedGroup(t)
+	for _, i := range order {
+		g.start(i, t.TempDir(), true)
+		time.Sleep(30 * time.Millisecond)
+	}
+	return g
+}
+
+// newStoppedGroup returns a group of which no coordinator runs.
+func newStoppedGroup(t testing.TB) *group {
 	g := &group{
 		t: t, platform: &fakePlatform{reports: map[uint64][]sqwindow.Count{}}, nodes: map[int]*node{},
-		addressPrefix: nextNetwork(),
+		addressPrefix: nextNetwork(), disks: map[int]*limitedDisk{},
 	}
 	for _, i := range []int{1, 2, 3} {
 		g.seeds = append(g.seeds, g.internalAddress(i))
 	}
-	for _, i := range order {
-		g.start(i, t.TempDir(), true)
-		time.Sleep(30 * time.Millisecond)
-	}
 	t.Cleanup(func() {
 		for i := range g.nodes {
 			g.stop(i)
@@ -146,10 +156,25 @@
 
 func (g *group) internalAddress(i int) string { return g.addressPrefix + strconv.Itoa(i) + ":7000" }
 
+// start starts a coordinator and waits until it runs.
 func (g *group) start(i int, folder string, firstStart bool) *node {
+	n := g.launch(i, folder, firstStart)
+	g.waitFor("the coordinator to start", func() bool {
+		select {
+		case err := <-n.done:
+			g.t.Fatal(err)
+		default:
+		}
+		return n.current.Load() != nil
+	})
+	n.coordinator = n.current.Load()
+	return n
+}
+
+// launch starts a coordinator, which need not be able to open its disk.
+func (g *group) launch(i int, folder string, firstStart bool) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{folder: folder, cancel: cancel, done: make(chan error, 1)}
-	started := make(chan *coordinator, 1)
 	cfg := Config{
 		Name: "c" + strconv.Itoa(i), Zone: "z" + strconv.Itoa(i), InternalAddress: g.internalAddress(i), OperatorAddress: g.addressPrefix + strconv.Itoa(i) + ":8000",
 		DataFolder: folder, Seeds: g.seeds, FirstStart: firstStart, TargetVoters: 3, FreshnessLease: 4 * time.Second, TakeoverDelay: 300 * time.Millisecond,
@@ -158,19 +183,15 @@
 			return g.platform, g.platform
 		},
 		OperatorHandler: func(d sqcore.Declarations) http.Handler {
-			started <- d.(*coordinator)
+			n.current.Store(d.(*coordinator))
 			return http.NotFoundHandler()
 		},
 		Log: testLog(),
 	}
-	go func() { n.done <- Run(ctx, cfg) }()
-	select {
-	case n.coordinator = <-started:
-	case err := <-n.done:
-		g.t.Fatal(err)
-	case <-time.After(waitTimeout):
-		g.t.Fatal("the coordinator did not start")
+	if d := g.disks[i]; d != nil {
+		cfg.FS = d
 	}
+	go func() { n.done <- Run(ctx, cfg) }()
 	g.nodes[i] = n
 	return n
 }
