--- a/core/sqquorum/sqquorum.go
+++ b/core/sqquorum/sqquorum.go
@@ -92,7 +92,7 @@
 	if c := removeDeadLearner(now, v); c.Kind != None {
 		return c
 	}
-	if l := v.caughtUpLearner(); l != nil && v.voterCount() < v.minVoters() {
+	if l := v.caughtUpLearner(now); l != nil && v.voterCount() < v.minVoters() {
 		return promote(l)
 	}
 	if lost := v.wipedVoter(now); lost != nil {
@@ -105,7 +105,7 @@
 	if silent == nil && v.voterCount() >= v.TargetVoters {
 		return Change{}
 	}
-	if l := v.caughtUpLearner(); l != nil {
+	if l := v.caughtUpLearner(now); l != nil {
 		return promote(l)
 	}
 	return addMissingLearner(now, v)
@@ -119,7 +119,7 @@
 // replaceWiped removes a voter that has lost its disk, once another member can take its
 // place or the group has more voters than it needs.
 func replaceWiped(now time.Time, v View, lost *Member) Change {
-	if v.voterCount() <= v.minVoters() && v.caughtUpLearner() == nil {
+	if v.voterCount() <= v.minVoters() && v.caughtUpLearner(now) == nil {
 		return addMissingLearner(now, v)
 	}
 	return Change{Kind: Remove, ID: lost.ID, Reason: "its disk is lost, and a caught-up member can take its place"}
@@ -212,9 +212,10 @@
 // with fewer than smallestTolerantGroup, the loss of one voter leaves no quorum.
 func (v View) minVoters() int { return max(v.TargetVoters, smallestTolerantGroup) }
 
-// caughtUpLearner returns a learner that can become a voter, or nil.
-func (v View) caughtUpLearner() *Member {
-	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.Learner && m.CaughtUp })
+// caughtUpLearner returns a learner that can become a voter, or nil. One that has just fallen
+// silent must not hold up another one.
+func (v View) caughtUpLearner(now time.Time) *Member {
+	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.Learner && m.CaughtUp && now.Sub(m.LastSeen) < candidateTTL })
 	if i < 0 {
 		return nil
 	}
--- a/core/sqquorum/sqquorum_test.go
+++ b/core/sqquorum/sqquorum_test.go
@@ -111,6 +111,19 @@
 	assert.Equal(t, NextChange(now, v).Kind, None)
 }
 
+// TestSilentLearnerHoldsUpNext guards against a learner that has just fallen silent and keeps
+// another one that has caught up from its vote.
+func TestSilentLearnerHoldsUpNext(t *testing.T) {
+	v := healthyGroup()
+	v.Members[1].LastSeen = now.Add(-3 * time.Second)
+	silent, live := member(9, candidateTTL), member(10, 0)
+	silent.Learner, live.Learner = true, true
+	v.Members = append(v.Members, silent, live)
+	c := NextChange(now, v)
+	assert.Equal(t, c.Kind, Promote)
+	assert.Equal(t, c.ID, uint64(10))
+}
+
 // after returns the view once the change is made. A learner has not caught up at first.
 func (v View) after(c Change) View {
 	switch c.Kind {
