--- a/core/sqquarantine/caution.go
+++ b/core/sqquarantine/caution.go
@@ -31,10 +31,10 @@
 	for _, known := range entries {
 		e.quarantined[known.Trait] = true
 	}
-	e.under = crashesByTrait(WholeRequest, t.keptCrashes(now, now))
+	e.under = crashesByTrait(t.keptCrashes(now, now), WholeRequest)
 	requests := e.cautions(e.requestNeedsCaution)
 	// Many sound requests may share a part, so gateways get the time to report its answers.
-	e.under = crashesByTrait(PromptPart, t.keptCrashes(now, settledAt(now, gateways)))
+	e.under = crashesByTrait(t.keptCrashes(now, settledAt(now, gateways)), PromptPart)
 	parts := e.cautions(e.partNeedsCaution)
 	return slices.Concat(e.lastInPrompts(parts), requests)
 }
@@ -48,23 +48,6 @@
 	return crashes
 }
 
-// crashesByTrait returns the crashes under each trait of the kind, in order. A rack of
-// engines that crashes has hundreds of requests in flight.
-func crashesByTrait(kind Kind, crashes []*Crash) map[Trait][]*Crash {
-	under := map[Trait][]*Crash{}
-	for _, c := range crashes {
-		for _, request := range c.Requests {
-			for _, t := range request {
-				known := under[t]
-				if t.Kind == kind && (len(known) == 0 || known[len(known)-1] != c) {
-					under[t] = append(known, c)
-				}
-			}
-		}
-	}
-	return under
-}
-
 // cautions returns entries of the traits that are in no entry and meet the condition.
 func (e *evidence) cautions(needed func(t Trait) bool) []Entry {
 	var cautions []Entry
