Tell a holder that is elected again of earlier crashes

Gateways remembered by its address which holder had acknowledged a crash. A coordinator that lost its term and was elected again begins without evidence, and no gateway told it: crashes were forgotten sooner than they count.

Now the holder is known by its address and its term.

TestReelectedHolderHearsOfNoCrash failed before.

--- a/app/sqgateway/fakeholder_test.go
+++ b/app/sqgateway/fakeholder_test.go
@@ -20,7 +20,9 @@
 	sqrpc.Coordinator
 	mu        sync.Mutex
 	notHolder bool
-	freshFor  time.Duration
+	// term is the holder's term, 1 if it is 0.
+	term     uint64
+	freshFor time.Duration
 	// fleetAge is how old the holder's list of endpoints is.
 	fleetAge time.Duration
 	table    []byte
@@ -78,7 +80,7 @@
 	res := &sqrpc.BeatResponse{
 		FreshMillis: uint32(h.freshFor.Milliseconds()), TableVersion: h.version,
 		FleetRevision: h.revision, FleetAgeMillis: uint32(h.fleetAge.Milliseconds()), GatewayCount: 1, TrueUnixNano: time.Now().UnixNano(), Holder: "holder",
-		Suspects: h.suspects, Quarantines: h.quarantines, Term: 1,
+		Suspects: h.suspects, Quarantines: h.quarantines, Term: max(1, h.term),
 		Gateways: []*sqrpc.GatewayAddress{{Address: req.GetAddress(), Zone: req.GetZone()}},
 	}
 	for _, l := range h.limits {
--- a/app/sqgateway/heartbeat.go
+++ b/app/sqgateway/heartbeat.go
@@ -92,7 +92,7 @@
 		return
 	}
 	updated := *v
-	updated.leaseHolder = ""
+	updated.leaseHolder, updated.evidenceHolder = "", ""
 	g.view.Store(&updated)
 	g.log.Event(sqevent.GatewayLeaseLost, now.Sub(lastSuccessAt).Milliseconds(), err.Error())
 }
--- a/app/sqgateway/quarantine.go
+++ b/app/sqgateway/quarantine.go
@@ -146,7 +146,7 @@
 
 // addEvidence adds the evidence on crashes to a heartbeat. The caller must hold mu.
 func (g *gateway) addEvidence(now time.Time, v *view, req *sqrpc.BeatRequest) {
-	for _, c := range g.evidence.Unacknowledged(v.leaseHolder) {
+	for _, c := range g.evidence.Unacknowledged(v.evidenceHolder) {
 		req.Crashes = append(req.Crashes, sqrpc.FromCrash(now, c))
 	}
 	for _, t := range v.suspects {
--- a/app/sqgateway/quarantine_test.go
+++ b/app/sqgateway/quarantine_test.go
@@ -127,6 +127,32 @@
 	assert.DeepEqual(t, crashes[0].GetRequests()[0].GetIds(), []string{"bad"})
 }
 
+// TestReelectedHolderHearsOfNoCrash guards against a holder that is elected again and never
+// hears of the crashes that it knew in its former term.
+func TestReelectedHolderHearsOfNoCrash(t *testing.T) {
+	var e *fakeEndpoint
+	e = newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		_ = e.Listener.Close()
+		resetConnection(w)
+	})
+	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
+	s.callWithPart(t, "bad")
+	reports := func() (n int) {
+		s.holder.update(func() { n = len(s.holder.crashes) })
+		return n
+	}
+	waitFor(t, func() bool { return reports() > 0 })
+	heartbeats := 0
+	s.holder.update(func() { heartbeats = s.holder.heartbeats })
+	waitFor(t, func() bool {
+		n := 0
+		s.holder.update(func() { n = s.holder.heartbeats })
+		return n > heartbeats+5
+	})
+	s.holder.update(func() { s.holder.crashes, s.holder.term = nil, 2 })
+	waitFor(t, func() bool { return reports() > 0 })
+}
+
 func TestResetIsReportedAsCrash(t *testing.T) {
 	e := newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request) { resetConnection(w) })
 	s := newTestSystem(t, e.fleetEntry("i1", "engines", sqplace.Decode))
--- a/app/sqgateway/view.go
+++ b/app/sqgateway/view.go
@@ -1,6 +1,7 @@
 package sqgateway
 
 import (
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -45,6 +46,9 @@
 	// clockOffset is the true time minus sqclock.Now.
 	clockOffset time.Duration
 	leaseHolder string
+	// evidenceHolder is the holder that knows the acknowledged crashes, with its term: one
+	// that is elected again begins without evidence.
+	evidenceHolder string
 	// suspects are the traits of requests about whose answers the gateway reports, and
 	// quarantines those with which it sends no request, with the end of the term. After
 	// that, requests are allowed one at a time.
@@ -118,6 +122,7 @@
 		g.log.Event(sqevent.GatewayLeaseGained, res.GetHolder(), res.GetTableVersion(), res.GetFleetRevision())
 	}
 	v.leaseHolder = res.GetHolder()
+	v.evidenceHolder = res.GetHolder() + "/" + strconv.FormatUint(res.GetTerm(), 10)
 	g.locator.SetAddresses(res.GetControls())
 	g.mu.Lock()
 	g.retryBudget.SetGateways(v.gatewayCount)
@@ -128,7 +133,7 @@
 	} else {
 		g.placer.SetPeerLoads(loads)
 	}
-	g.evidence.Acknowledge(receivedAt, old.leaseHolder, res.GetHolder())
+	g.evidence.Acknowledge(receivedAt, old.evidenceHolder, v.evidenceHolder)
 	g.mu.Unlock()
 	g.storeView(&v)
 	g.awaitTable(receivedAt, g.freshness.Awaited())
