Full-disk tests: wait for the last change at each voter

A replica answers a proposal before it publishes its new commit index, so the test compared the voters with the old one and looked a moment too early. It now waits for the change itself, at three voters, within the same time as every other wait of these tests.

--- a/app/sqcoordinator/fulldisk_test.go
+++ b/app/sqcoordinator/fulldisk_test.go
@@ -210,11 +210,15 @@
 		size := i % 2 * largeTable
 		assert.Assert(g.t, g.operator.change(size, acknowledgeTime), "change %d after all disks have room is not confirmed", i)
 	}
-	g.waitForVoters()
-	for name, c := range g.voters() {
-		n := &node{coordinator: c}
-		assert.Assert(g.t, n.hasTableVersion(uint64(g.operator.version)), name)
-	}
+	g.waitFor("the last change at three voters", func() bool {
+		voters := g.voters()
+		for _, c := range voters {
+			if c == nil || !(&node{coordinator: c}).hasTableVersion(uint64(g.operator.version)) {
+				return false
+			}
+		}
+		return len(voters) == 3
+	})
 }
 
 // TestFullDisksOneAfterAnother guards against a group that refuses or does not answer changes
