Full-disk tests: know voters by their identity

With -race beside proofs, TestFullDisksOneAfterAnother/diskLostWhileFull failed once: the test took a replica that had lost its disk, and was a learner under a new identity, for the voter of the same name, and took the next disk while the group still lacked that voter. So two disks were lost at once, which the group does not bear.

--- a/app/sqcoordinator/fulldisk_test.go
+++ b/app/sqcoordinator/fulldisk_test.go
@@ -159,13 +159,15 @@
 		return voters
 	}
 	for _, m := range holder.replica.Members() {
-		if !m.Learner() {
-			voters[m.Name()] = nil
+		if m.Learner() {
+			continue
 		}
-	}
-	for _, c := range running {
-		if _, ok := voters[c.cfg.Name]; ok {
-			voters[c.cfg.Name] = c
+		voters[m.Name()] = nil
+		for _, c := range running {
+			// A replica that has lost its disk is no voter, though its name is that of one.
+			if c.replica.Identity().ID() == m.ID() {
+				voters[m.Name()] = c
+			}
 		}
 	}
 	return voters
